--- a/src/bin/mallowshelf-drill.rs
+++ b/src/bin/wheatpier-adapter.rs
@@ -6,10 +6,10 @@
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 20, io::stdin().lock());
     let output = BufWriter::with_capacity(1 << 20, io::stdout().lock());
-    match mallowshelf::wire::run(input, output) {
+    match wheatpier::wire::run(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("mallowshelf-drill: {fault}");
+            eprintln!("wheatpier-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,4 +1,4 @@
-//! Every decision of mallowshelf. The interface (settings, events, actions) is `src/interface.rs`.
+//! Every decision of wheatpier. The interface (settings, events, actions) is `src/interface.rs`.
 //!
 //! Ordinary path, per far processor: a PI-controlled share of fresh calls is refused before sending; admitted
 //! calls pass a short PI-drained hold while that share is above nought; direct first, else one random tandem
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! mallowshelf: the decisions of a call control for a mesh of switches.
+//! wheatpier: the decisions of a call control for a mesh of switches.
 //!
 //! [`control::Controller`] takes [`interface::Event`]s and answers with [`interface::Action`]s. It does no
 //! I/O, reads no clock and shares nothing, so a call agent can embed it as it is. The README has an example.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The gatekeeper.
+fn main() {}
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{CREATE, TOPOLOGY};
-use mallowshelf::wire::run;
+use wheatpier::wire::run;
 
 /// The replies to `input`, and the fault's text if there was one.
 fn drill(input: &str) -> (String, Option<String>) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,8 +45,8 @@
 TOPOLOGY\t@\tC\t1\t0
 ";
 
-use mallowshelf::control::Controller;
-use mallowshelf::interface::*;
+use wheatpier::control::Controller;
+use wheatpier::interface::*;
 
 /// Milliseconds.
 #[allow(dead_code)]
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{Rig, listed, ms, sec};
-use mallowshelf::interface::*;
+use wheatpier::interface::*;
 
 #[test]
 fn a_call_goes_direct_while_its_group_has_room() {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -3,11 +3,11 @@
 
 mod common;
 use common::{listed, ms, sec, settings};
-use mallowshelf::control::Controller;
-use mallowshelf::interface::*;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 use std::collections::BTreeMap;
+use wheatpier::control::Controller;
+use wheatpier::interface::*;
 
 struct Watched {
     to: i64,
