--- /dev/null
+++ b/src/call.rs
@@ -0,0 +1,608 @@
+//! Call control round the decisions: the call table, attempts and their deadlines. It knows no protocol and does
+//! no I/O: what a protocol has read comes in by the methods of [`Driver`], what is to be written goes out as
+//! [`Command`]s, and another protocol can be put before it as it is.
+
+use crate::control::Controller;
+use crate::interface::{
+    Action, CallId, Cause, End, Event, ExchangeId, List, Micros, NewCall, Number, Outcome, Report, Settings,
+};
+use crate::settings::Names;
+use crate::timers::Timers;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// Causes of a release (ITU-T Q.850), which the protocols of telephony share.
+pub mod cause {
+    /// Normal clearing.
+    pub const NORMAL: u8 = 16;
+    /// User busy.
+    pub const BUSY: u8 = 17;
+    /// No circuit available.
+    pub const NO_CIRCUIT: u8 = 34;
+    /// Temporary failure: something broke on the way.
+    pub const BROKEN: u8 = 41;
+    /// Switching equipment congestion.
+    pub const CONGESTION: u8 = 42;
+    /// Resource unavailable.
+    pub const UNAVAILABLE: u8 = 47;
+    /// Invalid information element contents.
+    pub const INVALID: u8 = 100;
+    /// Recovery on timer expiry.
+    pub const EXPIRED: u8 = 102;
+}
+
+/// A caller's connection, whatever the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Origin(pub u64);
+
+/// A call's id on the wire, the same on both sides. The module has ids of its own: they are mapped here alone.
+pub type Tag = u64;
+
+/// For how long the tag of a call that is over is remembered: what still comes for it is its echo. A release
+/// is repeated on the next connection that a switch opens, which may take a while.
+const REMEMBERED: Micros = 600_000_000;
+/// Most tags remembered.
+const MOST_REMEMBERED: usize = 100_000;
+/// A probe without an answer has failed after this.
+const PROBE_WAIT: Micros = 250_000;
+
+/// A set-up as a caller sent it.
+#[derive(Clone, Debug, Default)]
+pub struct SetUp {
+    /// Its id on the wire.
+    pub tag: Tag,
+    /// The class, by name.
+    pub class: String,
+    /// The number called.
+    pub called: String,
+    /// How long the caller waits.
+    pub left: Micros,
+    /// The caller tries again.
+    pub redial: bool,
+    /// The exchange it is for.
+    pub destination: Number,
+    /// Circuits it takes.
+    pub width: f64,
+    /// The advised tandem or, in transit, where it comes from.
+    pub via: Number,
+    /// Another gatekeeper passes it on.
+    pub transit: bool,
+    /// The session description, passed on unchanged.
+    pub description: Option<String>,
+}
+
+/// A switch's release of an attempt or of a standing call.
+#[derive(Clone, Debug)]
+pub struct Release {
+    /// Its cause (see [`cause`]).
+    pub cause: u8,
+    /// What the switch noted.
+    pub note: Cause,
+    /// What it reports.
+    pub report: Report,
+}
+
+/// What is to be written, in the order given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Set a call up.
+    SetUp {
+        /// At this switch.
+        switch: ExchangeId,
+        /// The call.
+        tag: Tag,
+        /// Its class.
+        class: String,
+        /// The number called.
+        called: String,
+        /// When the attempt times out.
+        until: Micros,
+        /// The caller's description.
+        description: Option<String>,
+    },
+    /// Give a set-up up, or release a call that stands there.
+    GiveUp {
+        /// The switch.
+        switch: ExchangeId,
+        /// The call.
+        tag: Tag,
+    },
+    /// Release a call wherever it may stand: it was set up before this program started.
+    GiveUpAnywhere(Tag),
+    /// Probe a switch.
+    Probe {
+        /// The switch.
+        switch: ExchangeId,
+        /// The probe.
+        tag: Tag,
+    },
+    /// Tell a caller that its call stands.
+    Answer {
+        /// The caller's connection.
+        origin: Origin,
+        /// The call.
+        tag: Tag,
+        /// The description that the switch gave.
+        description: Option<String>,
+    },
+    /// Tell a caller that its call does not stand.
+    Reject {
+        /// The caller's connection.
+        origin: Origin,
+        /// The call.
+        tag: Tag,
+        /// Congestion if trying again is harmless, else failed.
+        cause: u8,
+        /// For how long to stay away; 0 says nothing.
+        back_off: Micros,
+    },
+    /// Release a standing call towards its caller.
+    Release {
+        /// The connection of its set-up, if this program knows it.
+        origin: Option<Origin>,
+        /// The call.
+        tag: Tag,
+        /// Why.
+        cause: u8,
+    },
+    /// A line for the log.
+    Log(String),
+}
+
+/// What the one timer queue holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// The module wants to be woken.
+    Module(u64),
+    /// An attempt of a call has run out of time.
+    Attempt(CallId, u32),
+    /// A probe has.
+    Probe(Tag),
+    /// The connection to a switch has something due.
+    Link(ExchangeId),
+    /// The control feed has.
+    Feed,
+    /// The end of the program may be near.
+    Stop,
+}
+
+struct Attempt {
+    number: u32,
+    switch: ExchangeId,
+    sent: Micros,
+}
+
+enum Stage {
+    /// The module decides, holds or has an attempt out.
+    Open(Option<Attempt>),
+    /// It stands at this switch; its set-up was sent then.
+    Standing { switch: ExchangeId, sent: Micros, attempt: u32 },
+}
+
+struct Call {
+    tag: Tag,
+    origin: Origin,
+    class: usize,
+    called: String,
+    description: Option<String>,
+    give_up_at: Micros,
+    attempts: u32,
+    stage: Stage,
+}
+
+/// The call table and the module behind it.
+pub struct Driver {
+    module: Controller,
+    names: Names,
+    step: Micros,
+    calls: BTreeMap<CallId, Call>,
+    tags: HashMap<Tag, CallId>,
+    last_id: u64,
+    over: HashMap<Tag, Micros>,
+    over_order: VecDeque<(Micros, Tag)>,
+    probes: HashMap<Tag, (ExchangeId, Micros)>,
+    last_probe: Tag,
+    /// What came since the last batch, in order of arrival.
+    events: Vec<Event>,
+    /// The next batch comes no sooner.
+    next_batch: Micros,
+    actions: Vec<Action>,
+    /// All that is due at some time, the network's part too: there is one loop timer.
+    pub timers: Timers<Due>,
+    /// What is to be written.
+    pub commands: Vec<Command>,
+}
+
+impl Driver {
+    /// A driver with no call.
+    pub fn new(settings: Settings, names: Names, seed: u64, now: Micros) -> Self {
+        let (step, mut actions) = (settings.step, Vec::new());
+        let module = Controller::new(settings, seed, now, &mut actions);
+        let mut driver = Driver {
+            module,
+            names,
+            step,
+            calls: BTreeMap::new(),
+            tags: HashMap::new(),
+            last_id: 0,
+            over: HashMap::new(),
+            over_order: VecDeque::new(),
+            probes: HashMap::new(),
+            last_probe: seed,
+            events: vec![],
+            next_batch: now,
+            actions,
+            timers: Timers::default(),
+            commands: vec![],
+        };
+        driver.act(now);
+        driver
+    }
+
+    /// The index of a zone's name; one that the settings do not name is a zone of its own.
+    pub fn zone(&self, name: &str) -> u32 {
+        self.names.zones.iter().position(|z| z == name).unwrap_or(self.names.zones.len()) as u32
+    }
+
+    /// Calls that still wait for their final answer.
+    pub fn unanswered(&self) -> usize {
+        self.calls.values().filter(|c| matches!(c.stage, Stage::Open(_))).count()
+    }
+
+    /// Whether a call has an attempt out at a switch, or stands there.
+    pub fn uses(&self, switch: ExchangeId) -> bool {
+        self.calls.values().any(|c| match &c.stage {
+            Stage::Open(attempt) => attempt.as_ref().is_some_and(|a| a.switch == switch),
+            Stage::Standing { switch: at, .. } => *at == switch,
+        })
+    }
+
+    // What callers send.
+
+    /// A set-up has come.
+    pub fn set_up(&mut self, now: Micros, origin: Origin, new: SetUp) {
+        if self.tags.contains_key(&new.tag) {
+            // Guards against two answers to one id: the first set-up alone is answered.
+            return self.log(format!("set-up {:016x}: the id is in use; ignored", new.tag));
+        }
+        let class = self.names.classes.iter().position(|c| *c == new.class);
+        let sound = new.width.is_finite() && (0.0..=1e6).contains(&new.width);
+        let Some(class) = class.filter(|_| sound) else {
+            self.log(format!("set-up {:016x}: its class or figures make no sense", new.tag));
+            let (tag, cause) = (new.tag, cause::INVALID);
+            return self.commands.push(Command::Reject { origin, tag, cause, back_off: 0 });
+        };
+        self.last_id += 1;
+        let id = CallId(self.last_id);
+        let give_up_at = now.saturating_add(new.left);
+        self.tags.insert(new.tag, id);
+        self.events.push(Event::Call(NewCall {
+            id,
+            class,
+            tenant: None,
+            called: new.called.clone(),
+            give_up_at,
+            destination: new.destination,
+            width: new.width,
+            via: new.via,
+            redial: new.redial,
+            transit: new.transit,
+        }));
+        let (tag, called, description) = (new.tag, new.called, new.description);
+        let (attempts, stage) = (0, Stage::Open(None));
+        self.calls.insert(id, Call { tag, origin, class, called, description, give_up_at, attempts, stage });
+    }
+
+    /// A caller has given its set-up up, or released its call.
+    pub fn released(&mut self, now: Micros, tag: Tag) {
+        let Some(id) = self.tags.get(&tag).copied() else {
+            // Not one of ours, and not an echo: a call of before the last restart may stand at any switch.
+            if !self.over.contains_key(&tag) {
+                self.commands.push(Command::GiveUpAnywhere(tag));
+                self.remember(now, tag);
+            }
+            return;
+        };
+        self.abandon(now, id);
+    }
+
+    /// A caller's connection has ended: the set-ups open on it are given up. Calls that stand belong to none.
+    pub fn origin_closed(&mut self, now: Micros, origin: Origin) {
+        let open = |c: &Call| c.origin == origin && matches!(c.stage, Stage::Open(_));
+        let gone: Vec<CallId> = self.calls.iter().filter(|(_, c)| open(c)).map(|(id, _)| *id).collect();
+        gone.into_iter().for_each(|id| self.abandon(now, id));
+    }
+
+    /// Whether a set-up of this connection is not answered yet.
+    pub fn owes(&self, origin: Origin) -> bool {
+        self.calls.values().any(|c| c.origin == origin && matches!(c.stage, Stage::Open(_)))
+    }
+
+    /// The caller has no more use for the call: what it has at a switch is given up.
+    fn abandon(&mut self, now: Micros, id: CallId) {
+        match self.take(now, id).map(|c| (c.tag, c.stage)) {
+            Some((tag, Stage::Open(attempt))) => {
+                self.events.push(Event::CallerGone(id));
+                if let Some(a) = attempt {
+                    self.give_up(tag, a.switch);
+                    self.end(id, a.number, a.switch, Outcome::Cancelled, true);
+                }
+            }
+            Some((tag, Stage::Standing { switch, attempt, .. })) => {
+                self.give_up(tag, switch);
+                self.end(id, attempt, switch, Outcome::Cancelled, true);
+            }
+            None => {}
+        }
+    }
+
+    // What switches send.
+
+    /// A call stands.
+    pub fn stands(&mut self, now: Micros, switch: ExchangeId, tag: Tag, description: Option<String>) {
+        let id = self.tags.get(&tag).copied();
+        let call = id.and_then(|id| self.calls.get_mut(&id).map(|c| (id, c)));
+        if let Some((id, call)) = call {
+            match &call.stage {
+                Stage::Open(Some(a)) if a.switch == switch => {
+                    let (attempt, sent) = (a.number, a.sent);
+                    call.stage = Stage::Standing { switch, sent, attempt };
+                    let took = now - sent;
+                    self.events.push(Event::Standing { call: id, attempt, took });
+                    let origin = call.origin;
+                    return self.commands.push(Command::Answer { origin, tag, description });
+                }
+                Stage::Standing { switch: at, .. } if *at == switch => return,
+                _ => {}
+            }
+        }
+        // Guards against an answer that crossed its cancel: what was given up must not stay standing.
+        self.give_up(tag, switch);
+    }
+
+    /// An attempt has failed, or a call that stood is over.
+    pub fn ended(&mut self, now: Micros, switch: ExchangeId, tag: Tag, release: Release) {
+        let Some(id) = self.tags.get(&tag).copied() else {
+            self.state(switch, release.report);
+            if !self.over.contains_key(&tag) {
+                // A call of before the last restart: its caller still has it.
+                self.remember(now, tag);
+                self.commands.push(Command::Release { origin: None, tag, cause: release.cause });
+            }
+            return;
+        };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        match &call.stage {
+            Stage::Open(Some(a)) if a.switch == switch => {
+                let outcome = match release.cause {
+                    cause::NO_CIRCUIT => Outcome::Full,
+                    cause::EXPIRED => Outcome::NotSent,
+                    cause::BROKEN => Outcome::Reset,
+                    _ => Outcome::Error,
+                };
+                let attempt = a.number;
+                call.stage = Stage::Open(None);
+                let (cause, report) = (release.note, release.report);
+                let (call, exchange, closed) = (id, switch, false);
+                self.events.push(Event::Ended(End {
+                    call,
+                    attempt,
+                    exchange,
+                    outcome,
+                    cause,
+                    closed,
+                    report,
+                }));
+            }
+            Stage::Standing { switch: at, .. } if *at == switch => {
+                let outcome = if release.cause == cause::NORMAL { Outcome::Ended } else { Outcome::Reset };
+                self.over(now, id, release.cause, outcome, release.report);
+            }
+            // The end of an attempt that was given up before.
+            _ => self.state(switch, release.report),
+        }
+    }
+
+    /// A switch has reported without being asked.
+    pub fn state(&mut self, switch: ExchangeId, report: Report) {
+        if report != Report::default() {
+            self.events.push(Event::Probed { exchange: switch, answered: true, took: 0, report });
+        }
+    }
+
+    /// A probe has been answered.
+    pub fn probed(&mut self, now: Micros, tag: Tag, passed: bool, report: Report) {
+        if let Some((exchange, sent)) = self.probes.remove(&tag) {
+            let took = (now - sent).max(1);
+            self.events.push(Event::Probed { exchange, answered: passed, took, report });
+        }
+    }
+
+    /// No connection to a switch came up: these set-ups never left.
+    pub fn unreachable(&mut self, switch: ExchangeId, tags: &[Tag]) {
+        for tag in tags {
+            self.end_attempts(switch, Outcome::Unreachable, |c| c.tag == *tag);
+        }
+    }
+
+    /// The connection to a switch is gone: the set-ups open on it are.
+    pub fn link_lost(&mut self, switch: ExchangeId) {
+        self.end_attempts(switch, Outcome::Reset, |_| true);
+    }
+
+    fn end_attempts(&mut self, switch: ExchangeId, outcome: Outcome, which: impl Fn(&Call) -> bool) {
+        let mut ended = Vec::new();
+        for (id, call) in self.calls.iter_mut().filter(|(_, c)| which(c)) {
+            if let Stage::Open(Some(a)) = &call.stage
+                && a.switch == switch
+            {
+                ended.push((*id, a.number));
+                call.stage = Stage::Open(None);
+            }
+        }
+        ended.into_iter().for_each(|(id, n)| self.end(id, n, switch, outcome, false));
+    }
+
+    /// A switch's process has died: the calls that were sent to it before that are cut.
+    pub fn switch_died(&mut self, now: Micros, switch: ExchangeId, before: Micros) {
+        let cut = |c: &Call| matches!(c.stage, Stage::Standing { switch: s, sent, .. } if s == switch && sent < before);
+        let ids: Vec<CallId> = self.calls.iter().filter(|(_, c)| cut(c)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.over(now, id, cause::BROKEN, Outcome::Reset, Report::default());
+        }
+    }
+
+    /// News of the list of switches.
+    pub fn list(&mut self, list: List) {
+        self.events.push(Event::List(list));
+    }
+
+    /// A call that stood is over: its caller is told.
+    fn over(&mut self, now: Micros, id: CallId, cause: u8, outcome: Outcome, report: Report) {
+        let Some(call) = self.take(now, id) else { return };
+        let Stage::Standing { switch, attempt, .. } = call.stage else { return };
+        self.commands.push(Command::Release { origin: Some(call.origin), tag: call.tag, cause });
+        let (call, exchange, cause, closed) = (id, switch, Cause::None, true);
+        self.events.push(Event::Ended(End { call, attempt, exchange, outcome, cause, closed, report }));
+    }
+
+    // Time and the module.
+
+    /// When the next batch or timer is due.
+    pub fn next_due(&self) -> Option<Micros> {
+        let batch = (!self.events.is_empty()).then_some(self.next_batch);
+        [batch, self.timers.next()].into_iter().flatten().min()
+    }
+
+    /// A timer of the driver's is due.
+    pub fn due(&mut self, now: Micros, due: Due) {
+        match due {
+            Due::Module(token) => self.events.push(Event::Timer(token)),
+            Due::Attempt(id, number) => {
+                let Some(call) = self.calls.get_mut(&id) else { return };
+                let Stage::Open(Some(a)) = &call.stage else { return };
+                if a.number == number {
+                    let (tag, switch) = (call.tag, a.switch);
+                    call.stage = Stage::Open(None);
+                    self.give_up(tag, switch);
+                    self.end(id, number, switch, Outcome::TimedOut, false);
+                }
+            }
+            Due::Probe(tag) => self.probed(now, tag, false, Report::default()),
+            Due::Link(_) | Due::Feed | Due::Stop => {}
+        }
+    }
+
+    /// Hands the module what came since the last batch, if it is time for one, and carries out its actions.
+    ///
+    /// As on the simulator's wire, all events of a batch come at its time, in their order of arrival, at least
+    /// a step after the last one; the actions take effect after the last event, in order; what they bring about
+    /// at once is an event of the next batch.
+    pub fn batch(&mut self, now: Micros) {
+        if self.events.is_empty() || now < self.next_batch {
+            return;
+        }
+        self.next_batch = now + self.step;
+        for event in std::mem::take(&mut self.events) {
+            self.module.handle(now, event, &mut self.actions);
+        }
+        self.act(now);
+        while self.over_order.front().is_some_and(|o| o.0 <= now) || self.over.len() > MOST_REMEMBERED {
+            let Some((_, tag)) = self.over_order.pop_front() else { break };
+            self.over.remove(&tag);
+        }
+    }
+
+    fn act(&mut self, now: Micros) {
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Send { call, exchange, timeout } => self.send(now, call, exchange, timeout),
+                Action::Refuse { call, back_off } => self.reject(now, call, cause::CONGESTION, back_off),
+                Action::Fail(call) => self.reject(now, call, cause::BROKEN, 0),
+                Action::Cancel { call, attempt } => {
+                    let Some(c) = self.calls.get_mut(&call) else { continue };
+                    let Stage::Open(Some(a)) = &c.stage else { continue };
+                    if a.number == attempt {
+                        let (tag, switch) = (c.tag, a.switch);
+                        c.stage = Stage::Open(None);
+                        self.give_up(tag, switch);
+                        self.end(call, attempt, switch, Outcome::Cancelled, false);
+                    }
+                }
+                Action::Probe(switch) => {
+                    self.last_probe = self.last_probe.wrapping_add(1);
+                    let tag = self.last_probe;
+                    self.probes.insert(tag, (switch, now));
+                    self.timers.push(now + PROBE_WAIT, Due::Probe(tag));
+                    self.commands.push(Command::Probe { switch, tag });
+                }
+                // Changes to the list come unasked on the control feed.
+                Action::Subscribe => {}
+                Action::Timer { after, token } => {
+                    self.timers.push(now.saturating_add(after.max(0)), Due::Module(token));
+                }
+                Action::Log(line) => self.log(line),
+            }
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: CallId, switch: ExchangeId, timeout: Micros) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let number = call.attempts;
+        call.attempts += 1;
+        if !matches!(call.stage, Stage::Open(None)) {
+            // Two attempts at once never happen, whatever was decided on an older view of the call.
+            return self.end(id, number, switch, Outcome::NotSent, true);
+        }
+        call.stage = Stage::Open(Some(Attempt { number, switch, sent: now }));
+        let until = now.saturating_add(timeout).min(call.give_up_at);
+        let class = self.names.classes.get(call.class).cloned().unwrap_or_default();
+        let (tag, called, description) = (call.tag, call.called.clone(), call.description.clone());
+        self.commands.push(Command::SetUp { switch, tag, class, called, until, description });
+        self.timers.push(until, Due::Attempt(id, number));
+    }
+
+    /// The one final answer of a call that does not stand. One that stands by now has had its answer.
+    fn reject(&mut self, now: Micros, id: CallId, cause: u8, back_off: Micros) {
+        if !self.calls.get(&id).is_some_and(|c| matches!(c.stage, Stage::Open(_))) {
+            return;
+        }
+        let Some(call) = self.take(now, id) else { return };
+        if let Stage::Open(Some(a)) = call.stage {
+            self.give_up(call.tag, a.switch);
+        }
+        self.commands.push(Command::Reject { origin: call.origin, tag: call.tag, cause, back_off });
+    }
+
+    /// Takes a call out of the table: the one place where it is given back.
+    fn take(&mut self, now: Micros, id: CallId) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        self.tags.remove(&call.tag);
+        self.remember(now, call.tag);
+        Some(call)
+    }
+
+    fn remember(&mut self, now: Micros, tag: Tag) {
+        if self.over.insert(tag, now).is_none() {
+            self.over_order.push_back((now + REMEMBERED, tag));
+        }
+    }
+
+    fn give_up(&mut self, tag: Tag, switch: ExchangeId) {
+        self.commands.push(Command::GiveUp { switch, tag });
+    }
+
+    fn end(&mut self, call: CallId, attempt: u32, exchange: ExchangeId, outcome: Outcome, closed: bool) {
+        let (cause, report) = (Cause::None, Report::default());
+        self.events.push(Event::Ended(End { call, attempt, exchange, outcome, cause, closed, report }));
+    }
+
+    fn log(&mut self, line: String) {
+        self.commands.push(Command::Log(line));
+    }
+
+    /// Ends all calls that still wait: the program stops before their time-outs would.
+    pub fn fail_all(&mut self, now: Micros) {
+        let open: Vec<CallId> = self.calls.keys().copied().collect();
+        open.into_iter().for_each(|id| self.reject(now, id, cause::BROKEN, 0));
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,256 @@
+//! The gatekeeper on sockets: one loop on one thread, and the connections that hang in it.
+
+pub mod binary;
+pub mod callers;
+pub mod feed;
+pub mod lines;
+pub mod link;
+pub mod switches;
+
+use crate::call::{Command, Driver, Due};
+use crate::clock::Clock;
+use crate::interface::{Micros, Settings};
+use crate::settings::{self, Names};
+use calloop::signals::{Signal, Signals};
+use calloop::timer::{TimeoutAction, Timer};
+use calloop::{Dispatcher, EventLoop};
+use callers::Callers;
+use feed::{Feed, Known};
+use serde::Deserialize;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use switches::Switches;
+
+/// After SIGTERM, callers go on coming for so long.
+const STILL_COMING: Micros = 800_000;
+/// And after so long whoever still waits is told that its call failed, before the program would be killed.
+const LAST_ANSWER: Micros = 3_300_000;
+/// How long the loop's timer rests with nothing due.
+const REST: Duration = Duration::from_secs(3600);
+/// Connection time-out where the settings name none.
+const CONNECT: Micros = 500_000;
+
+/// A line of the log. Nothing is done where the log can't be written: calls come first.
+pub fn log(line: &str) {
+    let _ = writeln!(std::io::stderr(), "{line}");
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: String,
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: FileLimits,
+    #[serde(default)]
+    feed: String,
+    #[serde(default)]
+    known: Known,
+    settings: serde_json::Value,
+}
+
+#[derive(Default, Deserialize)]
+struct FileLimits {
+    sockets: Option<usize>,
+}
+
+/// What a gatekeeper is told at its start.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    seed: u64,
+    sockets: usize,
+    feed: Option<SocketAddr>,
+    known: Known,
+    settings: Settings,
+    names: Names,
+    connect_timeout: Micros,
+}
+
+impl Config {
+    /// Reads the configuration's JSON.
+    ///
+    /// # Errors
+    /// What is wrong with it, in one line.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let pairs = settings::flatten(&file.settings);
+        let (settings, names) = settings::build(&pairs).map_err(|p| format!("settings: {p}"))?;
+        let address = |key: &str, text: &str| {
+            text.parse::<SocketAddr>().map_err(|_| format!("{key}: {text:?} is no address with a port"))
+        };
+        Ok(Config {
+            listen: address("listen", &file.listen)?,
+            name: file.name,
+            // Sixteen hex digits; of any other text the bytes serve as well.
+            seed: u64::from_str_radix(&file.seed, 16)
+                .unwrap_or_else(|_| file.seed.bytes().fold(7, |n, b| n.rotate_left(9) ^ u64::from(b))),
+            sockets: file.limits.sockets.unwrap_or(1024),
+            feed: if file.feed.is_empty() { None } else { Some(address("feed", &file.feed)?) },
+            known: file.known,
+            connect_timeout: settings::span_or(&pairs, "limits.connectTimeoutS", CONNECT),
+            settings,
+            names,
+        })
+    }
+
+    /// What it says, in one line.
+    pub fn summary(&self) -> String {
+        let (events, classes, here) = (self.known.events.len(), self.settings.classes.len(), self.settings.here);
+        format!("{}: exchange {here}, {classes} classes, {events} events known", self.name)
+    }
+}
+
+/// The gatekeeper: what the callbacks of the loop work on.
+pub struct Node {
+    clock: Clock,
+    driver: Driver,
+    callers: Callers,
+    switches: Switches,
+    feed: Feed,
+    ready: bool,
+    /// When the program was told to stop.
+    stopping: Option<Micros>,
+}
+
+/// Runs a gatekeeper until it is told to stop and has answered all it took.
+///
+/// # Errors
+/// What kept it from starting, or broke the loop.
+pub fn serve(config: Config) -> Result<(), String> {
+    let mut event_loop: EventLoop<'static, Node> = EventLoop::try_new().map_err(|e| format!("loop: {e}"))?;
+    let handle = event_loop.handle();
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    handle
+        .insert_source(signals, |_, _, node: &mut Node| node.stop())
+        .map_err(|e| format!("signals: {}", e.error))?;
+    let timer = Dispatcher::new(Timer::immediate(), |_, _, _: &mut Node| TimeoutAction::ToDuration(REST));
+    let timer_token = handle.register_dispatcher(timer.clone()).map_err(|e| format!("timer: {e}"))?;
+
+    let mut clock = Clock::start();
+    let now = clock.now();
+    let here = config.settings.here;
+    // Callers hold at most a third of the descriptors; the rest is for what they cause, and to spare.
+    let most = (config.sockets / 2).max(16);
+    let callers = Callers::listen(handle.clone(), config.listen, most)
+        .map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let mut node = Node {
+        clock,
+        driver: Driver::new(config.settings, config.names, config.seed, now),
+        callers,
+        switches: Switches::new(handle.clone(), config.connect_timeout, here),
+        feed: Feed::new(handle.clone(), config.feed),
+        ready: false,
+        stopping: None,
+    };
+    node.start_feed(config.known);
+
+    let mut armed = None;
+    while !node.turn() {
+        let next = node.driver.next_due();
+        node.clock.end_turn();
+        if next != armed {
+            armed = next;
+            // With nothing due the timer rests; the module's own tick never lets that happen.
+            let at = next.map_or_else(|| Instant::now() + REST, |at| node.clock.instant(at));
+            timer.as_source_mut().set_deadline(at);
+            handle.update(&timer_token).map_err(|e| format!("timer: {e}"))?;
+        }
+        event_loop.dispatch(None, &mut node).map_err(|e| format!("loop: {e}"))?;
+        if next.is_some_and(|at| at <= node.clock.now()) {
+            armed = None;
+        }
+    }
+    log("stopped");
+    Ok(())
+}
+
+impl Node {
+    /// The end of a turn: what is due, a batch for the module, and all that is to be written. True at the end.
+    fn turn(&mut self) -> bool {
+        let now = self.clock.now();
+        while let Some(due) = self.driver.timers.pop(now) {
+            match due {
+                Due::Link(switch) => self.link_due(switch),
+                Due::Feed => self.feed_due(),
+                Due::Stop => {
+                    if self.stopping.is_some_and(|since| now >= since + LAST_ANSWER) {
+                        self.driver.fail_all(now);
+                    }
+                }
+                other => self.driver.due(now, other),
+            }
+        }
+        self.driver.batch(now);
+        self.carry_out();
+        if !self.ready && self.switches.all_heard() {
+            self.ready = true;
+            log("ready");
+        }
+        if self.callers.has_tests() && (self.ready || self.stopping.is_some()) {
+            // One that stops takes no more in: the front should turn elsewhere.
+            self.callers.pass_tests(self.stopping.is_none());
+        }
+        self.flush();
+        let quiet = |since: Micros| {
+            let flushed = self.callers.is_flushed() && self.switches.is_flushed();
+            now >= since + STILL_COMING && self.driver.unanswered() == 0 && flushed
+        };
+        self.stopping.is_some_and(|since| quiet(since) || now >= since + LAST_ANSWER + 100_000)
+    }
+
+    fn carry_out(&mut self) {
+        // Carrying a command out may bring about more, as when a switch can't be reached.
+        while !self.driver.commands.is_empty() {
+            for command in std::mem::take(&mut self.driver.commands) {
+                match command {
+                    Command::SetUp { switch, tag, class, called, until, description } => {
+                        let message = switches::set_up(tag, class, called, description);
+                        self.send_set_up(switch, tag, message, until);
+                    }
+                    Command::GiveUp { switch, tag } => self.switches.give_up(switch, tag),
+                    Command::GiveUpAnywhere(tag) => self.switches.give_up_anywhere(tag),
+                    Command::Probe { switch, tag } => self.switches.probe(switch, tag),
+                    Command::Answer { origin, tag, description } => {
+                        self.callers.answer(origin, tag, description);
+                    }
+                    Command::Reject { origin, tag, cause, back_off } => {
+                        self.callers.reject(origin, tag, cause, back_off);
+                    }
+                    Command::Release { origin, tag, cause } => self.callers.release(origin, tag, cause),
+                    Command::Log(line) => log(&line),
+                }
+            }
+        }
+    }
+
+    fn flush(&mut self) {
+        let driver = &self.driver;
+        for origin in self.callers.flush(|origin| driver.owes(origin)) {
+            self.close_caller(origin);
+        }
+        for switch in self.switches.flush() {
+            self.drop_link(switch);
+        }
+        if !self.feed.flush() {
+            self.close_feed("broke the connection", 0);
+        }
+    }
+
+    fn stop(&mut self) {
+        if self.stopping.is_some() {
+            return;
+        }
+        let now = self.clock.now();
+        log(&format!("told to stop: {} calls wait for their answer", self.driver.unanswered()));
+        self.stopping = Some(now);
+        for after in [STILL_COMING, LAST_ANSWER, LAST_ANSWER + 100_000] {
+            self.driver.timers.push(now + after, Due::Stop);
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,9 +2,9 @@
 
 use crate::control::Controller;
 use crate::interface::{
-    Action, CallId, Cause, Class, End, Event, ExchangeId, Group, Health, List, Listed, Micros, NewCall,
-    Outcome, Repeat, Report, Settings, Tenant,
+    Action, CallId, Cause, End, Event, ExchangeId, Health, List, Listed, Micros, NewCall, Outcome, Report,
 };
+use crate::settings::{self, Names, micros};
 use std::collections::BTreeMap;
 use std::fmt::{self, Write as _};
 use std::io::{self, BufRead, Write};
@@ -27,11 +27,6 @@
 
 type Res<T> = Result<T, Fault>;
 
-/// Seconds on the wire to microseconds.
-fn micros(seconds: f64) -> Micros {
-    (seconds * 1e6).round() as Micros
-}
-
 /// The parts of one line, with the line's number for messages.
 struct Parts<'a> {
     line: u64,
@@ -101,159 +96,12 @@
             let Ok(v) = value.parse::<f64>() else {
                 return self.fault(field, "holds a value that cannot be read");
             };
-            let v = (v.is_finite() && v >= 0.0).then_some(v);
-            match name {
-                "free" => report.free = v,
-                "size" => report.size = v,
-                "active" => report.active = v,
-                "waiting" => report.waiting = v,
-                "cpu" => report.busy = v,
-                "avg_ms" => report.wait = v.map(|ms| ms * 1000.0),
-                "can_take" => report.can_take = v,
-                "hold_back" => report.hold_back = v,
-                _ => {}
-            }
+            settings::set_report(&mut report, name, v);
         }
         Ok(report)
     }
 }
 
-/// The settings of a `CREATE` line, by path.
-struct Info<'a> {
-    line: u64,
-    pairs: BTreeMap<&'a str, &'a str>,
-}
-
-impl<'a> Info<'a> {
-    fn text(&self, key: &str) -> Res<&'a str> {
-        match self.pairs.get(key) {
-            Some(v) => Ok(v),
-            None => Err(Fault(format!("line {}: CREATE: {key}: missing", self.line))),
-        }
-    }
-
-    fn bad<T>(&self, key: &str) -> Res<T> {
-        Err(Fault(format!("line {}: CREATE: {key}: makes no sense", self.line)))
-    }
-
-    fn number(&self, key: &str) -> Res<f64> {
-        match self.text(key)?.parse::<f64>() {
-            Ok(v) if v.is_finite() && v.abs() < 1e12 => Ok(v),
-            _ => self.bad(key),
-        }
-    }
-
-    fn amount(&self, key: &str) -> Res<f64> {
-        let v = self.number(key)?;
-        if v < 0.0 { self.bad(key) } else { Ok(v) }
-    }
-
-    fn seconds(&self, key: &str) -> Res<Micros> {
-        Ok(micros(self.amount(key)?))
-    }
-
-    fn flag(&self, key: &str) -> Res<bool> {
-        match self.text(key)? {
-            "true" | "1" => Ok(true),
-            "false" | "0" => Ok(false),
-            _ => self.bad(key),
-        }
-    }
-
-    fn one_of<T: Copy>(&self, key: &str, words: &[(&str, T)]) -> Res<T> {
-        let t = self.text(key)?;
-        match words.iter().find(|(w, _)| *w == t) {
-            Some((_, v)) => Ok(*v),
-            None => self.bad(key),
-        }
-    }
-
-    fn count(&self, list: &str) -> Res<usize> {
-        match self.pairs.get(format!("{list}.count").as_str()) {
-            Some(v) => match v.parse() {
-                Ok(n) if n < 10_000 => Ok(n),
-                _ => self.bad(list),
-            },
-            None if self.pairs.get(list).is_some_and(|v| v.is_empty()) => Ok(0),
-            None => self.text(list).and_then(|_| self.bad(list)),
-        }
-    }
-}
-
-/// The words of one instance: names that the module knows only as indices.
-struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-}
-
-fn settings(info: &Info) -> Res<(Settings, Names)> {
-    let mut names = Names { classes: vec![], tenants: vec![], zones: vec![] };
-    let mut classes = Vec::new();
-    for i in 0..info.count("services")? {
-        let key = |k: &str| format!("services.{i}.{k}");
-        names.classes.push(info.text(&key("name"))?.to_string());
-        let skilled = match info.pairs.get(format!("familyInfo.skilledPools.{i}").as_str()) {
-            Some(list) => list.split(',').filter_map(|n| n.parse().ok()).collect(),
-            None => vec![],
-        };
-        classes.push(Class {
-            aim: info.seconds(&key("aimS"))?,
-            worth: info.amount(&key("worth"))?,
-            late_worth: info.amount(&key("lateWorth"))?,
-            repeat: info.one_of(
-                &key("repeat"),
-                &[("pure", Repeat::Pure), ("token", Repeat::Token), ("side_effect", Repeat::SideEffect)],
-            )?,
-            group: info.one_of(
-                &key("group"),
-                &[("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)],
-            )?,
-            repeat_window: info.seconds(&key("repeatWindowS"))?,
-            skilled,
-        });
-    }
-    if classes.is_empty() {
-        return info.bad("services.count");
-    }
-    let mut tenants = Vec::new();
-    for i in 0..info.count("tenants")? {
-        names.tenants.push(info.text(&format!("tenants.{i}.name"))?.to_string());
-        tenants.push(Tenant { quota_per_s: info.amount(&format!("tenants.{i}.quotaPerS"))? });
-    }
-    names.zones = info.text("failureDomains")?.split(',').map(str::to_string).collect();
-    let whole = |key: &str, least: f64| match info.number(key)? {
-        v if v >= least && v.fract() == 0.0 => Ok(v),
-        _ => info.bad(key),
-    };
-    let settings = Settings {
-        here: whole("familyInfo.here", -1.0)? as i64,
-        agents: whole("groupSize", 1.0)? as u32,
-        pools: info.one_of("familyInfo.topology", &[("mesh", false), ("pools", true)])?,
-        must_subscribe: info.one_of("membershipMode", &[("automatic", false), ("subscribe", true)])?,
-        ask_within: info.seconds("rules.askWithinS")?,
-        classes,
-        tenants,
-        over_share_worth: info.amount("overShareWorth")?,
-        release: info.seconds("familyInfo.releaseS")?,
-        resend: info.seconds("familyInfo.resendS")?,
-        step: info.seconds("stepS")?,
-        most_attempts: whole("limits.mostTries", 0.0)? as u32,
-        may_cancel: info.flag("limits.cancel")?,
-        may_probe: info.flag("limits.probes")?,
-        probe_price: info.number("prices.probe")?,
-        may_back_off: info.flag("limits.retryAfter")?,
-        longest_back_off: info.seconds("limits.maxRetryAfterS")?,
-        drain_grace: info.seconds("rules.drainGraceS")?,
-        cold_from: info.amount("rules.coldFrom")?,
-        warm_within: info.seconds("rules.warmWithinS")?,
-        tip_multiple: info.amount("rules.tipMultiple")?,
-        fall: info.seconds("rules.fallS")?,
-        far_reports: info.text("reporting.via")? == "answers",
-    };
-    Ok((settings, names))
-}
-
 struct Instance {
     module: Controller,
     names: Names,
@@ -311,10 +159,11 @@
                     let mut pairs = BTreeMap::new();
                     for pair in parts.rest.by_ref() {
                         if let Some((key, value)) = pair.split_once('=') {
-                            pairs.insert(key, value);
+                            pairs.insert(key.to_string(), value.to_string());
                         }
                     }
-                    let (settings, names) = settings(&Info { line, pairs })?;
+                    let (settings, names) =
+                        settings::build(&pairs).map_err(|p| Fault(format!("line {line}: CREATE: {p}")))?;
                     actions.clear();
                     let module = Controller::new(settings, seed, now, &mut actions);
                     write_actions(&mut reply, who, &actions);
