Release the calls at a switch that is silent and takes no new connection

At fault: src/net/switches.rs reacted to a connection's end and to the feed only. A cut-off machine sends neither an end nor a release, so its 181 cut calls stayed in the table and their circuits stayed taken. Ruled out: resets (none in the logs), the feed (no switch was listed as gone), a lost release (no answer was written for these calls at all). Now: a switch with calls that has said nothing for 1.5 s is tried by a new connection; if none comes up for a further 2.5 s its calls are released to their callers, and given up at the switch once it is back. The same holds for one that can't be connected to for 2.5 s.

--- a/src/call.rs
+++ b/src/call.rs
@@ -442,11 +442,15 @@
         ended.into_iter().for_each(|(id, n)| self.end(id, n, switch, outcome, false));
     }
 
-    /// A switch's process has died: the calls that were sent to it before that are cut.
+    /// A switch has died or is cut off: the calls that were sent to it before that are cut.
     pub fn switch_died(&mut self, now: Micros, switch: ExchangeId, before: Micros) {
         let cut = |c: &Call| matches!(c.stage, Stage::Standing { switch: s, sent, .. } if s == switch && sent < before);
         let ids: Vec<CallId> = self.calls.iter().filter(|(_, c)| cut(c)).map(|(id, _)| *id).collect();
         for id in ids {
+            // Cut off is not dead: if the switch is there again, it must not think that the call stands.
+            if let Some(tag) = self.calls.get(&id).map(|c| c.tag) {
+                self.give_up(tag, switch);
+            }
             self.over(now, id, cause::BROKEN, Outcome::Reset, Report::default());
         }
     }
--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -125,7 +125,8 @@
 
     #[test]
     fn a_message_is_read_only_once_it_is_whole() {
-        let text = "{\"verb\":\"FINISH\",\"tag\":\"9b1f03aa5c7e2d41\",\"opts\":{\"waited\":12},\"rc\":34}\nrest";
+        let text =
+            "{\"verb\":\"FINISH\",\"tag\":\"9b1f03aa5c7e2d41\",\"opts\":{\"waited\":12},\"rc\":34}\nrest";
         let end = text.len() - 4;
         for n in 0..end {
             assert_eq!(decode(&text.as_bytes()[..n]), Ok(None));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,10 +11,10 @@
 use crate::clock::Clock;
 use crate::interface::{Micros, Settings};
 use crate::settings::{self, Names};
+use callers::Callers;
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{Dispatcher, EventLoop};
-use callers::Callers;
 use feed::{Feed, Known};
 use serde::Deserialize;
 use std::io::Write;
@@ -101,7 +101,8 @@
 
     /// What it says, in one line.
     pub fn summary(&self) -> String {
-        let (events, classes, here) = (self.known.events.len(), self.settings.classes.len(), self.settings.here);
+        let (events, classes, here) =
+            (self.known.events.len(), self.settings.classes.len(), self.settings.here);
         format!("{}: exchange {here}, {classes} classes, {events} events known", self.name)
     }
 }
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -12,9 +12,12 @@
 
 /// First and longest wait before a switch is connected to again.
 const RETRY: (Micros, Micros) = (100_000, 1_000_000);
-/// A switch that refuses connections for so long has no process: its calls are cut. A single refusal may come
-/// from one that takes no more connections.
+/// A switch that can't be connected to for so long is dead or cut off, and so are its calls. A single refusal
+/// may come from one that takes no more connections.
 const DEAD_AFTER: Micros = 2_500_000;
+/// One that has calls and has said nothing for so long is tried by a new connection: a dead or cut-off machine
+/// leaves its old ones open and silent, but new ones never come up.
+const SILENCE: Micros = 1_500_000;
 
 enum State {
     /// No connection; the next is tried then.
@@ -25,6 +28,13 @@
     Open { link: Link, since: Micros },
 }
 
+/// A second connection to a silent switch.
+struct Trial {
+    link: Link,
+    until: Micros,
+    up: bool,
+}
+
 /// What the control feed says of a switch.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
@@ -45,8 +55,17 @@
     state: State,
     /// Set-ups that wait for the connection, and until when each may.
     waiting: Vec<(Tag, Message, Micros)>,
+    /// Calls to be given up as soon as there is a connection.
+    debts: Vec<Tag>,
     retry: Micros,
-    refused_since: Option<Micros>,
+    /// When it was last heard, or a connection last came up.
+    last_heard: Micros,
+    /// Its silence is looked at no sooner.
+    watch_at: Micros,
+    /// Since when it can't be reached.
+    lost_since: Option<Micros>,
+    /// Shows whether it is still there when its connection is silent. What it says there counts as well.
+    trial: Option<Trial>,
     /// Its group has been reported, or it could not be reached: no reason to wait for it.
     heard: bool,
 }
@@ -112,8 +131,10 @@
             let waited = switch.waiting.len();
             switch.waiting.retain(|w| w.0 != tag);
             // What never left need not be given up.
-            if switch.waiting.len() == waited {
-                self.write(id, &Message { rc: Some(cause::NORMAL), ..Message::new("FINISH", tag) });
+            let left = switch.waiting.len() == waited;
+            if left && !self.write(id, &finish(tag)) {
+                // Guards against a call that stays standing because its switch could not be told.
+                self.switches.entry(id).and_modify(|s| s.debts.push(tag));
             }
         }
     }
@@ -124,6 +145,11 @@
         ids.into_iter().for_each(|id| self.give_up(id, tag));
     }
 
+    /// A switch that is gone is owed nothing.
+    fn forget_debts(&mut self, id: ExchangeId) {
+        self.switches.entry(id).and_modify(|s| s.debts.clear());
+    }
+
     /// Probes a switch.
     pub fn probe(&mut self, id: ExchangeId, tag: Tag) {
         self.write(id, &Message { rc: Some(0), ..Message::new("ECHO", tag) });
@@ -133,9 +159,12 @@
     pub fn flush(&mut self) -> Vec<ExchangeId> {
         let mut broken = Vec::new();
         for (id, switch) in &mut self.switches {
-            if let State::Open { link, .. } = &mut switch.state
-                && let Err(e) = link.flush()
-            {
+            let result = match &mut switch.state {
+                State::Open { link, .. } => link.flush(),
+                _ => Ok(()),
+            };
+            let trial = switch.trial.as_mut().filter(|t| t.up).map_or(Ok(()), |t| t.link.flush());
+            if let Err(e) = result.and(trial) {
                 log(&format!("switch {}: the connection broke: {e}", switch.host.name));
                 broken.push(*id);
             }
@@ -174,8 +203,18 @@
         let closed = State::Closed { retry_at: now };
         let switch = self.switches.switches.entry(id).or_insert_with(|| {
             log(&format!("switch {} is exchange {} of number {}", host.name, id.0, host.number));
-            let (waiting, retry) = (vec![], RETRY.0);
-            Switch { host: host.clone(), state: closed, waiting, retry, refused_since: None, heard: false }
+            Switch {
+                host: host.clone(),
+                state: closed,
+                waiting: vec![],
+                debts: vec![],
+                retry: RETRY.0,
+                last_heard: now,
+                watch_at: now,
+                lost_since: None,
+                trial: None,
+                heard: false,
+            }
         });
         switch.host = host.clone();
         let Some(before) = before else { return self.connect(id) };
@@ -185,7 +224,7 @@
         if host.health == Health::Gone {
             self.drop_link(id);
             self.driver.switch_died(now, id, now);
-            return;
+            return self.switches.forget_debts(id);
         }
         let restarted = host.up_since.filter(|up| before.up_since != Some(*up));
         if let Some(up) = restarted {
@@ -220,7 +259,8 @@
         if let State::Open { link, .. } = &mut switch.state {
             if !left(&mut message, until - now).encode(link.output()) {
                 log(&format!("set-up {tag:016x} is too long to be passed on"));
-                let release = Release { cause: cause::UNAVAILABLE, note: Cause::None, report: Report::default() };
+                let release =
+                    Release { cause: cause::UNAVAILABLE, note: Cause::None, report: Report::default() };
                 self.driver.ended(now, id, tag, release);
             }
             return;
@@ -241,29 +281,91 @@
                 switch.state = State::Connecting { link, until };
                 self.driver.timers.push(until, Due::Link(id));
             }
-            Err(e) => self.not_connected(id, &e.to_string(), true),
+            Err(e) => self.not_connected(id, &e.to_string()),
         }
     }
 
     /// No connection came up.
-    fn not_connected(&mut self, id: ExchangeId, why: &str, refused: bool) {
+    fn not_connected(&mut self, id: ExchangeId, why: &str) {
         let now = self.clock.now();
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
-        if !switch.heard || (refused && switch.refused_since.is_none()) {
+        if switch.lost_since.is_none() {
             log(&format!("switch {} cannot be reached: {why}", switch.host.name));
         }
         switch.heard = true;
-        let since = switch.refused_since.filter(|_| refused);
-        switch.refused_since = if refused { since.or(Some(now)) } else { None };
-        let dead = since.is_some_and(|s| now - s >= DEAD_AFTER);
+        let since = *switch.lost_since.get_or_insert(now);
         let retry_at = now + switch.retry;
         switch.retry = (switch.retry * 2).min(RETRY.1);
         self.close_link(id, retry_at);
-        if dead {
+        if now - since >= DEAD_AFTER {
             self.driver.switch_died(now, id, now);
         }
     }
 
+    /// Looks after a connection that is open: has the switch been silent for too long?
+    fn watch(&mut self, id: ExchangeId) {
+        let now = self.clock.now();
+        let used = self.driver.uses(id);
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        if now < switch.watch_at {
+            return;
+        }
+        if !used {
+            switch.last_heard = now;
+        }
+        let silent = now - switch.last_heard;
+        let until = switch.trial.as_ref().map_or(now, |t| t.until);
+        let pending = switch.trial.as_ref().is_some_and(|t| !t.up && now < t.until);
+        if silent < SILENCE || pending {
+            switch.watch_at = if pending { until } else { now + SILENCE - silent };
+            return self.driver.timers.push(switch.watch_at, Due::Link(id));
+        }
+        if let Some(trial) = switch.trial.take() {
+            trial.link.close(&self.switches.handle);
+        }
+        if silent >= SILENCE + DEAD_AFTER {
+            log(&format!("switch {} is silent and no new connection comes up", switch.host.name));
+            // The time of its silence counts: nothing is gained by waiting for refusals as well.
+            switch.lost_since = Some(switch.last_heard);
+            self.close_link(id, now);
+            return self.driver.switch_died(now, id, now);
+        }
+        let Some(address) = switch.host.address else { return };
+        let until = now + self.switches.connect_timeout;
+        match Link::connect(&self.switches.handle, address, move |node| node.trial_ready(id)) {
+            Ok(link) => switch.trial = Some(Trial { link, until, up: false }),
+            Err(e) => log(&format!("switch {} refuses a new connection: {e}", switch.host.name)),
+        }
+        switch.watch_at = until;
+        self.driver.timers.push(until, Due::Link(id));
+    }
+
+    /// Something has happened on a second connection.
+    fn trial_ready(&mut self, id: ExchangeId) {
+        let now = self.clock.now();
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        let Some(trial) = &mut switch.trial else { return };
+        let over = match trial.link.connected() {
+            Ok(true) => {
+                if !trial.up {
+                    (trial.up, switch.last_heard) = (true, now);
+                }
+                let progress = trial.link.read();
+                let (messages, result) = trial.link.messages(lines::decode);
+                let result = messages.into_iter().try_for_each(|m| self.heard_switch(now, id, m)).and(result);
+                if progress == Progress::More {
+                    self.switches.handle.insert_idle(move |node| node.trial_ready(id));
+                }
+                result.is_err() || matches!(progress, Progress::End | Progress::Broken)
+            }
+            Ok(false) => false,
+            Err(_) => true,
+        };
+        if over && let Some(switch) = self.switches.switches.get_mut(&id) {
+            switch.trial.take().into_iter().for_each(|t| t.link.close(&self.switches.handle));
+        }
+    }
+
     /// Drops the connection to a switch, if there is one, and with it what was open on it.
     pub(super) fn drop_link(&mut self, id: ExchangeId) {
         let now = self.clock.now();
@@ -281,6 +383,7 @@
             State::Connecting { link, .. } => link.close(&self.switches.handle),
             State::Closed { .. } => {}
         }
+        switch.trial.take().into_iter().for_each(|t| t.link.close(&self.switches.handle));
         let waiting: Vec<Tag> = switch.waiting.drain(..).map(|w| w.0).collect();
         self.driver.unreachable(id, &waiting);
         self.driver.timers.push(retry_at, Due::Link(id));
@@ -291,9 +394,10 @@
         let now = self.clock.now();
         match self.switches.switches.get(&id).map(|s| &s.state) {
             Some(State::Connecting { until, .. }) if *until <= now => {
-                self.not_connected(id, "no connection in time", false);
+                self.not_connected(id, "no connection in time");
             }
             Some(State::Closed { retry_at }) if *retry_at <= now => self.connect(id),
+            Some(State::Open { .. }) => self.watch(id),
             _ => {}
         }
     }
@@ -306,7 +410,7 @@
             match link.connected() {
                 Ok(false) => return,
                 Ok(true) => self.link_up(id),
-                Err(e) => return self.not_connected(id, &e.to_string(), true),
+                Err(e) => return self.not_connected(id, &e.to_string()),
             }
         }
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
@@ -336,21 +440,27 @@
     fn link_up(&mut self, id: ExchangeId) {
         let now = self.clock.now();
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
-        (switch.retry, switch.refused_since) = (RETRY.0, None);
+        (switch.retry, switch.lost_since, switch.last_heard) = (RETRY.0, None, now);
+        switch.watch_at = now + SILENCE;
+        self.driver.timers.push(switch.watch_at, Due::Link(id));
         let state = std::mem::replace(&mut switch.state, State::Closed { retry_at: now });
         if let State::Connecting { link, .. } = state {
             switch.state = State::Open { link, since: now };
         }
-        for (tag, message, until) in std::mem::take(&mut switch.waiting) {
+        let (debts, waiting) = (std::mem::take(&mut switch.debts), std::mem::take(&mut switch.waiting));
+        for tag in debts {
+            self.switches.write(id, &finish(tag));
+        }
+        for (tag, message, until) in waiting {
             self.send_set_up(id, tag, message, until);
         }
     }
 
     fn heard_switch(&mut self, now: Micros, id: ExchangeId, message: Message) -> Result<(), &'static str> {
+        if let Some(switch) = self.switches.switches.get_mut(&id) {
+            (switch.heard, switch.last_heard) = (true, now);
+        }
         if message.verb == "LOAD" {
-            if let Some(switch) = self.switches.switches.get_mut(&id) {
-                switch.heard = true;
-            }
             self.driver.state(id, message.report());
             return Ok(());
         }
@@ -370,6 +480,11 @@
     }
 }
 
+/// Gives a set-up up, or releases a call.
+fn finish(tag: Tag) -> Message {
+    Message { rc: Some(cause::NORMAL), ..Message::new("FINISH", tag) }
+}
+
 /// A set-up with the time that is left for it, in whole milliseconds.
 fn left(message: &mut Message, left: Micros) -> &Message {
     message.opts.insert("left".into(), (left / 1000).max(1).to_string().into());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -234,7 +234,8 @@
 
     #[test]
     fn nested_json_is_flattened_to_the_paths_of_the_wire() {
-        let json = r#"{"a":{"b":1.5,"none":null},"l":["x","y"],"e":[],"o":[{"n":"p"}],"s":[[1,2],[]],"t":true}"#;
+        let json =
+            r#"{"a":{"b":1.5,"none":null},"l":["x","y"],"e":[],"o":[{"n":"p"}],"s":[[1,2],[]],"t":true}"#;
         let pairs = flatten(&serde_json::from_str(json).unwrap());
         let text: Vec<_> = pairs.iter().map(|(k, v)| format!("{k}={v}")).collect();
         assert_eq!(text.join(" "), "a.b=1.5 e= l=x,y o.0.n=p o.count=1 s.0=1,2 s.1= s.count=2 t=true");
