--- a/src/call.rs
+++ b/src/call.rs
@@ -312,9 +312,10 @@
         gone.into_iter().for_each(|id| self.abandon(now, id));
     }
 
-    /// Whether a set-up of this connection is not answered yet.
-    pub fn owes(&self, origin: Origin) -> bool {
-        self.calls.values().any(|c| c.origin == origin && matches!(c.stage, Stage::Open(_)))
+    /// A set-up of this connection that is not answered yet.
+    pub fn owes(&self, origin: Origin) -> Option<Tag> {
+        let owed = self.calls.values().find(|c| c.origin == origin && matches!(c.stage, Stage::Open(_)));
+        owed.map(|c| c.tag)
     }
 
     /// The caller has no more use for the call: what it has at a switch is given up.
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -2,7 +2,7 @@
 
 use super::binary::{self, Message, code, kind};
 use super::link::{Link, Progress};
-use super::{Node, log};
+use super::{Node, Unread, log};
 use crate::call::{Origin, SetUp, Tag, cause};
 use crate::interface::Micros;
 use calloop::generic::Generic;
@@ -172,8 +172,15 @@
     }
 
     /// Something has come on a caller's connection, or it has room again.
-    fn caller_ready(&mut self, origin: Origin) {
-        let Some(caller) = self.callers.callers.get_mut(&origin).filter(|c| !c.ended) else { return };
+    pub(super) fn caller_ready(&mut self, origin: Origin) {
+        let Some(caller) = self.callers.callers.get_mut(&origin) else { return };
+        if caller.ended {
+            // Nothing more comes but the reset of a caller that is gone.
+            if !matches!(caller.link.connected(), Ok(true)) {
+                self.close_caller(origin);
+            }
+            return;
+        }
         let progress = caller.link.read();
         let (messages, result) = caller.link.messages(binary::decode);
         for message in messages {
@@ -186,19 +193,17 @@
         match progress {
             Progress::Blocked => {}
             // One chunk at a time, so that a busy caller does not keep the others waiting.
-            Progress::More => {
-                self.callers.handle.insert_idle(move |node| node.caller_ready(origin));
-            }
+            Progress::More => self.unread.push(Unread::Caller(origin)),
             Progress::Broken => self.close_caller(origin),
-            Progress::End if self.driver.owes(origin) => {
+            Progress::End => match self.driver.owes(origin) {
                 // A caller that only finished sending still reads. Guards against one that is gone for good:
                 // this write, which means nothing, brings its reset.
-                self.callers.write(origin, &Message::new(kind::PROGRESS, 0));
-                if let Some(caller) = self.callers.callers.get_mut(&origin) {
-                    caller.ended = true;
+                Some(tag) => {
+                    self.callers.write(origin, &Message::new(kind::PROGRESS, tag));
+                    self.callers.callers.entry(origin).and_modify(|c| c.ended = true);
                 }
-            }
-            Progress::End => self.close_caller(origin),
+                None => self.close_caller(origin),
+            },
         }
     }
 
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -3,7 +3,7 @@
 use super::lines;
 use super::link::{Link, Progress};
 use super::switches::Host;
-use super::{Node, log};
+use super::{Node, Unread, log};
 use crate::call::Due;
 use crate::clock::Clock;
 use crate::interface::{Health, List, Listed, Micros, Number};
@@ -184,7 +184,7 @@
         }
     }
 
-    fn feed_ready(&mut self) {
+    pub(super) fn feed_ready(&mut self) {
         let now = self.clock.now();
         let Some(link) = &mut self.feed.link else { return };
         if !self.feed.asked {
@@ -215,9 +215,7 @@
         }
         match progress {
             Progress::Blocked => {}
-            Progress::More => {
-                self.feed.handle.insert_idle(Node::feed_ready);
-            }
+            Progress::More => self.unread.push(Unread::Feed),
             Progress::End | Progress::Broken => self.close_feed("closed the connection", RETRY),
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,9 +7,9 @@
 pub mod link;
 pub mod switches;
 
-use crate::call::{Command, Driver, Due};
+use crate::call::{Command, Driver, Due, Origin};
 use crate::clock::Clock;
-use crate::interface::{Micros, Settings};
+use crate::interface::{ExchangeId, Micros, Settings};
 use crate::settings::{self, Names};
 use callers::Callers;
 use calloop::signals::{Signal, Signals};
@@ -26,6 +26,8 @@
 const STILL_COMING: Micros = 800_000;
 /// And after so long whoever still waits is told that its call failed, before the program would be killed.
 const LAST_ANSWER: Micros = 3_300_000;
+/// Each time limit of the rules is so much longer on sockets. The wait for a release is told to the module so.
+const ON_SOCKETS: Micros = 50_000;
 /// How long the loop's timer rests with nothing due.
 const REST: Duration = Duration::from_secs(3600);
 /// Connection time-out where the settings name none.
@@ -80,7 +82,8 @@
     pub fn parse(text: &str) -> Result<Self, String> {
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let pairs = settings::flatten(&file.settings);
-        let (settings, names) = settings::build(&pairs).map_err(|p| format!("settings: {p}"))?;
+        let (mut settings, names) = settings::build(&pairs).map_err(|p| format!("settings: {p}"))?;
+        settings.release += ON_SOCKETS;
         let address = |key: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| format!("{key}: {text:?} is no address with a port"))
         };
@@ -107,6 +110,15 @@
     }
 }
 
+/// A connection on which more may have come than was read in one turn.
+#[derive(Clone, Copy)]
+enum Unread {
+    Caller(Origin),
+    Switch(ExchangeId),
+    Trial(ExchangeId),
+    Feed,
+}
+
 /// The gatekeeper: what the callbacks of the loop work on.
 pub struct Node {
     clock: Clock,
@@ -114,6 +126,7 @@
     callers: Callers,
     switches: Switches,
     feed: Feed,
+    unread: Vec<Unread>,
     ready: bool,
     /// When the program was told to stop.
     stopping: Option<Micros>,
@@ -146,6 +159,7 @@
         callers,
         switches: Switches::new(handle.clone(), config.connect_timeout, here),
         feed: Feed::new(handle.clone(), config.feed),
+        unread: vec![],
         ready: false,
         stopping: None,
     };
@@ -162,7 +176,9 @@
             timer.as_source_mut().set_deadline(at);
             handle.update(&timer_token).map_err(|e| format!("timer: {e}"))?;
         }
-        event_loop.dispatch(None, &mut node).map_err(|e| format!("loop: {e}"))?;
+        let wait = if node.unread.is_empty() { None } else { Some(Duration::ZERO) };
+        event_loop.dispatch(wait, &mut node).map_err(|e| format!("loop: {e}"))?;
+        node.read_on();
         if next.is_some_and(|at| at <= node.clock.now()) {
             armed = None;
         }
@@ -205,6 +221,18 @@
         self.stopping.is_some_and(|since| quiet(since) || now >= since + LAST_ANSWER + 100_000)
     }
 
+    /// Edge-triggered, the loop tells of nothing again: what was left unread has its turn here.
+    fn read_on(&mut self) {
+        for unread in std::mem::take(&mut self.unread) {
+            match unread {
+                Unread::Caller(origin) => self.caller_ready(origin),
+                Unread::Switch(switch) => self.switch_ready(switch),
+                Unread::Trial(switch) => self.trial_ready(switch),
+                Unread::Feed => self.feed_ready(),
+            }
+        }
+    }
+
     fn carry_out(&mut self) {
         // Carrying a command out may bring about more, as when a switch can't be reached.
         while !self.driver.commands.is_empty() {
@@ -232,7 +260,7 @@
 
     fn flush(&mut self) {
         let driver = &self.driver;
-        for origin in self.callers.flush(|origin| driver.owes(origin)) {
+        for origin in self.callers.flush(|origin| driver.owes(origin).is_some()) {
             self.close_caller(origin);
         }
         for switch in self.switches.flush() {
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -3,7 +3,7 @@
 
 use super::lines::{self, Message};
 use super::link::{Link, Progress};
-use super::{Node, log};
+use super::{Node, Unread, log};
 use crate::call::{Due, Release, Tag, cause};
 use crate::interface::{Cause, ExchangeId, Health, Micros, Number, Report};
 use calloop::LoopHandle;
@@ -101,7 +101,7 @@
 
     /// Whether every switch in service has reported its group or could not be reached.
     pub fn all_heard(&self) -> bool {
-        self.switches.values().all(|s| s.heard || s.host.health != Health::InService)
+        self.switches.values().all(|s| s.heard || !s.wanted() || s.host.health != Health::InService)
     }
 
     /// Switches that are not gone.
@@ -310,6 +310,8 @@
         if now < switch.watch_at {
             return;
         }
+        // One that takes connections and says nothing is not waited for.
+        switch.heard = true;
         if !used {
             switch.last_heard = now;
         }
@@ -341,7 +343,7 @@
     }
 
     /// Something has happened on a second connection.
-    fn trial_ready(&mut self, id: ExchangeId) {
+    pub(super) fn trial_ready(&mut self, id: ExchangeId) {
         let now = self.clock.now();
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
         let Some(trial) = &mut switch.trial else { return };
@@ -354,7 +356,7 @@
                 let (messages, result) = trial.link.messages(lines::decode);
                 let result = messages.into_iter().try_for_each(|m| self.heard_switch(now, id, m)).and(result);
                 if progress == Progress::More {
-                    self.switches.handle.insert_idle(move |node| node.trial_ready(id));
+                    self.unread.push(Unread::Trial(id));
                 }
                 result.is_err() || matches!(progress, Progress::End | Progress::Broken)
             }
@@ -403,7 +405,7 @@
     }
 
     /// Something has come on a switch's connection, or it has room again.
-    fn switch_ready(&mut self, id: ExchangeId) {
+    pub(super) fn switch_ready(&mut self, id: ExchangeId) {
         let now = self.clock.now();
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
         if let State::Connecting { link, .. } = &switch.state {
@@ -425,9 +427,7 @@
         }
         match progress {
             Progress::Blocked => {}
-            Progress::More => {
-                self.switches.handle.insert_idle(move |node| node.switch_ready(id));
-            }
+            Progress::More => self.unread.push(Unread::Switch(id)),
             Progress::End | Progress::Broken => {
                 let how = if progress == Progress::End { "closed" } else { "reset" };
                 log(&format!("switch {name}: the connection was {how}"));
