Replace a connection that its switch is about to close as idle before a set-up goes out

The settings name the time after which idle connections are closed: within the last second of it the next set-up goes on a new one.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -32,6 +32,8 @@
 const REST: Duration = Duration::from_secs(3600);
 /// Connection time-out where the settings name none.
 const CONNECT: Micros = 500_000;
+/// After so long idle connections are closed, where the settings say nothing.
+const KEEPALIVE: Micros = 600_000_000;
 
 /// A line of the log. Nothing is done where the log can't be written: calls come first.
 pub fn log(line: &str) {
@@ -72,6 +74,7 @@
     settings: Settings,
     names: Names,
     connect_timeout: Micros,
+    keepalive: Micros,
 }
 
 impl Config {
@@ -97,6 +100,7 @@
             feed: if file.feed.is_empty() { None } else { Some(address("feed", &file.feed)?) },
             known: file.known,
             connect_timeout: settings::span_or(&pairs, "limits.connectTimeoutS", CONNECT),
+            keepalive: settings::span_or(&pairs, "limits.keepaliveS", KEEPALIVE),
             settings,
             names,
         })
@@ -157,7 +161,7 @@
         clock,
         driver: Driver::new(config.settings, config.names, config.seed, now),
         callers,
-        switches: Switches::new(handle.clone(), config.connect_timeout, here),
+        switches: Switches::new(handle.clone(), config.connect_timeout, config.keepalive, here),
         feed: Feed::new(handle.clone(), config.feed),
         unread: vec![],
         ready: false,
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -24,8 +24,8 @@
     Closed { retry_at: Micros },
     /// A connection is being set up until then.
     Connecting { link: Link, until: Micros },
-    /// A connection is open since then.
-    Open { link: Link, since: Micros },
+    /// A connection is open since then; the last word about a call was spoken on it at `used`.
+    Open { link: Link, since: Micros, used: Micros },
 }
 
 /// A second connection to a silent switch.
@@ -80,6 +80,8 @@
 pub struct Switches {
     handle: LoopHandle<'static, Node>,
     connect_timeout: Micros,
+    /// Idle connections are closed after this.
+    keepalive: Micros,
     /// The own exchange: nothing is sent there.
     here: Number,
     switches: BTreeMap<ExchangeId, Switch>,
@@ -89,8 +91,11 @@
 
 impl Switches {
     /// No switch is known yet.
-    pub fn new(handle: LoopHandle<'static, Node>, connect_timeout: Micros, here: Number) -> Self {
-        Switches { handle, connect_timeout, here, switches: BTreeMap::new(), names: HashMap::new() }
+    pub fn new(
+        handle: LoopHandle<'static, Node>, connect_timeout: Micros, keepalive: Micros, here: Number,
+    ) -> Self {
+        let (switches, names) = (BTreeMap::new(), HashMap::new());
+        Switches { handle, connect_timeout, keepalive, here, switches, names }
     }
 
     /// The module's id of a switch.
@@ -253,7 +258,15 @@
         let Some(switch) = self.switches.switches.get_mut(&id).filter(|s| s.wanted()) else {
             return self.driver.unreachable(id, &[tag]);
         };
-        if let State::Open { link, .. } = &mut switch.state {
+        if let State::Open { used, .. } = switch.state
+            && about_to_close(now - used, self.switches.keepalive)
+        {
+            // Guards against a set-up that crosses the close of an idle connection and is lost with it.
+            self.drop_link(id);
+        }
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        if let State::Open { link, used, .. } = &mut switch.state {
+            *used = now;
             if !left(&mut message, until - now).encode(link.output()) {
                 log(&format!("set-up {tag:016x} is too long to be passed on"));
                 let release =
@@ -442,7 +455,7 @@
         self.driver.timers.push(switch.watch_at, Due::Link(id));
         let state = std::mem::replace(&mut switch.state, State::Closed { retry_at: now });
         if let State::Connecting { link, .. } = state {
-            switch.state = State::Open { link, since: now };
+            switch.state = State::Open { link, since: now, used: now };
         }
         let (debts, waiting) = (std::mem::take(&mut switch.debts), std::mem::take(&mut switch.waiting));
         for tag in debts {
@@ -462,6 +475,9 @@
             return Ok(());
         }
         let tag = message.call().ok_or("a message about no call")?;
+        if let Some(State::Open { used, .. }) = self.switches.switches.get_mut(&id).map(|s| &mut s.state) {
+            *used = now;
+        }
         match message.verb.as_str() {
             "STARTED" => self.driver.stands(now, id, tag, message.blob),
             "FINISH" => {
@@ -477,6 +493,11 @@
     }
 }
 
+/// Whether a connection that has been idle for so long may be closed before a set-up gets there.
+fn about_to_close(idle: Micros, keepalive: Micros) -> bool {
+    idle >= keepalive - (keepalive / 4).min(1_000_000)
+}
+
 /// Gives a set-up up, or releases a call.
 fn finish(tag: Tag) -> Message {
     Message { rc: Some(cause::NORMAL), ..Message::new("FINISH", tag) }
@@ -495,3 +516,24 @@
     message.opts.insert("key".into(), called.into());
     message
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_idle_connection_is_replaced_shortly_before_its_switch_closes_it() {
+        let (second, keepalive) = (1_000_000, 600_000_000);
+        assert!(!about_to_close(keepalive - second - 1, keepalive));
+        assert!(about_to_close(keepalive - second, keepalive) && about_to_close(keepalive * 2, keepalive));
+        assert!(!about_to_close(second, 2 * second) && about_to_close(2 * second, 2 * second));
+    }
+
+    #[test]
+    fn a_set_up_names_the_time_that_is_left_in_whole_milliseconds() {
+        let mut message = set_up(7, "check".into(), "12".into(), None);
+        for (span, text) in [(1_500_900, "1500"), (900, "1"), (-5_000, "1")] {
+            assert_eq!(left(&mut message, span).field("left").as_deref(), Some(text));
+        }
+    }
+}
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -219,6 +219,7 @@
     duplicate_and_unknown_ids
     feed
     group_full_takes_the_tandem
+    idle_close
     long_and_split_messages
     malformed_input
     no_caller_connected
