Let the exchanges' reader go on after an interrupted system call

Seen: 3 of 12 runs side by side failed with EINTR in a raw read of tests/exchanges.rs; the program itself was not involved. BufReader's reads go on.

--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -31,7 +31,7 @@
     at: String,
     listeners: BTreeMap<&'static str, TcpListener>,
     addresses: BTreeMap<&'static str, String>,
-    connections: BTreeMap<String, TcpStream>,
+    connections: BTreeMap<String, BufReader<TcpStream>>,
 }
 
 impl Drop for Play {
@@ -131,19 +131,19 @@
                     _ => self.listeners[listener].accept().expect("a connection").0,
                 };
                 stream.set_read_timeout(HANG).unwrap();
-                self.connections.insert(party.to_string(), stream);
+                self.connections.insert(party.to_string(), BufReader::new(stream));
             }
             (_, "closes") => drop(self.connections.remove(party).expect("its connection")),
             (_, "resets") => {
                 let stream = self.connections.remove(party).expect("its connection");
-                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
             }
             (_, "refuses") => drop(self.listeners.remove(listener).expect("its address")),
             (_, ">") => {
                 let bytes = self.said(party, what);
-                (&self.connections[party]).write_all(&bytes).unwrap();
+                self.connections[party].get_ref().write_all(&bytes).unwrap();
             }
-            (_, "<") if what == "end" => match (&self.connections[party]).read(&mut [0; 1]) {
+            (_, "<") if what == "end" => match self.connection(party).read_until(b'\n', &mut vec![]) {
                 Ok(0) => {}
                 Err(e) if e.kind() == ErrorKind::ConnectionReset => {}
                 other => panic!("{other:?} instead of the end"),
@@ -151,21 +151,22 @@
             (_, "<") if party.starts_with('c') => {
                 let wanted = self.said(party, what);
                 let mut got = vec![0; wanted.len()];
-                (&self.connections[party]).read_exact(&mut got).unwrap();
+                self.connection(party).read_exact(&mut got).unwrap();
                 assert!(got == wanted, "got {}", String::from_utf8_lossy(&got).escape_debug());
             }
             (_, "<") => {
-                let (mut got, mut byte) = (Vec::new(), [0]);
-                while (&self.connections[party]).read(&mut byte).unwrap() == 1 && byte != [b'\n'] {
-                    got.push(byte[0]);
-                }
-                let got = String::from_utf8(got).unwrap();
-                assert!(fits(&got, what), "got {got}");
+                let mut got = String::new();
+                self.connection(party).read_line(&mut got).unwrap();
+                assert!(fits(got.trim_end(), what), "got {got}");
             }
             _ => panic!("no such line"),
         }
     }
 
+    fn connection(&mut self, party: &str) -> &mut BufReader<TcpStream> {
+        self.connections.get_mut(party).expect("its connection")
+    }
+
     fn said(&self, party: &str, what: &str) -> Vec<u8> {
         if party.starts_with('c') {
             return bytes(&mut &*what);
