Set the loop's timer anew after each time it fires

Found by reading, not seen in a run: src/net/mod.rs compared the next due time with the one armed, and took the timer as unarmed only if the turn's time had reached it. The turn's time may be read by another callback just before the timer counts as due; then what was due stays in the queue, and the timer rests for an hour or until something comes. Now the timer's own callback marks it as unarmed.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -131,6 +131,8 @@
     switches: Switches,
     feed: Feed,
     unread: Vec<Unread>,
+    /// What the loop's timer is set for.
+    armed: Option<Micros>,
     ready: bool,
     /// When the program was told to stop.
     stopping: Option<Micros>,
@@ -147,7 +149,12 @@
     handle
         .insert_source(signals, |_, _, node: &mut Node| node.stop())
         .map_err(|e| format!("signals: {}", e.error))?;
-    let timer = Dispatcher::new(Timer::immediate(), |_, _, _: &mut Node| TimeoutAction::ToDuration(REST));
+    let timer = Dispatcher::new(Timer::immediate(), |_, _, node: &mut Node| {
+        // Guards against a lost wake-up: the turn's time may have been read just before the timer was due, so
+        // that what it was set for comes out of the queue in the next turn only. It is set again in any case.
+        node.armed = None;
+        TimeoutAction::ToDuration(REST)
+    });
     let timer_token = handle.register_dispatcher(timer.clone()).map_err(|e| format!("timer: {e}"))?;
 
     let mut clock = Clock::start();
@@ -164,17 +171,17 @@
         switches: Switches::new(handle.clone(), config.connect_timeout, config.keepalive, here),
         feed: Feed::new(handle.clone(), config.feed),
         unread: vec![],
+        armed: None,
         ready: false,
         stopping: None,
     };
     node.start_feed(config.known);
 
-    let mut armed = None;
     while !node.turn() {
         let next = node.driver.next_due();
         node.clock.end_turn();
-        if next != armed {
-            armed = next;
+        if next.is_none() || next != node.armed {
+            node.armed = next;
             // With nothing due the timer rests; the module's own tick never lets that happen.
             let at = next.map_or_else(|| Instant::now() + REST, |at| node.clock.instant(at));
             timer.as_source_mut().set_deadline(at);
@@ -183,9 +190,6 @@
         let wait = if node.unread.is_empty() { None } else { Some(Duration::ZERO) };
         event_loop.dispatch(wait, &mut node).map_err(|e| format!("loop: {e}"))?;
         node.read_on();
-        if next.is_some_and(|at| at <= node.clock.now()) {
-            armed = None;
-        }
     }
     log("stopped");
     Ok(())
