--- a/src/net/binary.rs
+++ b/src/net/binary.rs
@@ -164,4 +164,24 @@
         let stub = [&[0, 10, 1][..], &[0; 8], &[180]].concat();
         assert!(decode(&stub).is_err(), "a parameter without a length");
     }
+
+    #[test]
+    fn whatever_bytes_come_they_are_read_or_refused() {
+        let mut whole = Vec::new();
+        let message = Message::new(kind::SET_UP, 7).with(code::CLASS, "check").with(code::CAUSE, [34]);
+        assert!(message.encode(&mut whole));
+        let (mut read, mut refused) = (0, 0);
+        crate::net::mangled(&whole, |bytes| match decode(bytes) {
+            Ok(Some((message, taken))) => {
+                assert!(taken <= bytes.len());
+                let mut again = Vec::new();
+                assert!(message.encode(&mut again));
+                assert_eq!(again, bytes[..taken]);
+                read += 1;
+            }
+            Ok(None) => {}
+            Err(_) => refused += 1,
+        });
+        assert!(read > 1000 && refused > 1000, "{read} read, {refused} refused");
+    }
 }
--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -168,4 +168,23 @@
         assert!(!message.encode(&mut out));
         assert_eq!(out, b"before");
     }
+
+    #[test]
+    fn whatever_bytes_come_they_are_read_or_refused() {
+        let mut whole = Vec::new();
+        let opts = [("note", "acc"), ("waited", "12"), ("load", "x0:12;x1:40;latency_ms:3.5")];
+        let opts = opts.map(|(k, v)| (k.to_string(), Value::from(v))).into();
+        assert!(Message { opts, rc: Some(34), ..Message::new("FINISH", 7) }.encode(&mut whole));
+        let (mut read, mut refused) = (0, 0);
+        crate::net::mangled(&whole, |bytes| match decode(bytes) {
+            Ok(Some((message, taken))) => {
+                assert!(taken <= bytes.len());
+                let _ = (message.call(), message.note(), message.report());
+                read += 1;
+            }
+            Ok(None) => {}
+            Err(_) => refused += 1,
+        });
+        assert!(read > 1000 && refused > 1000, "{read} read, {refused} refused");
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -291,3 +291,20 @@
         }
     }
 }
+
+/// For tests of the codecs: a message with bytes changed and sometimes cut short, in 20,000 ways. Whatever comes,
+/// they must not panic, for that would end the program.
+#[cfg(test)]
+fn mangled(whole: &[u8], mut each: impl FnMut(&[u8])) {
+    use rand_core::{RngCore, SeedableRng};
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..20_000 {
+        let mut bytes = whole.to_vec();
+        for _ in 0..=rng.next_u32() % 4 {
+            let at = rng.next_u32() as usize % bytes.len();
+            bytes[at] = rng.next_u32() as u8;
+        }
+        bytes.truncate(bytes.len() - rng.next_u32() as usize % 8 / 7);
+        each(&bytes);
+    }
+}
