Keep the settings' limit on open calls, and at most what the memory holds

The driver's bound of 20,000 was a constant that its comment took for the settings', and with descriptions of 16 KiB would have passed 192 MB. Now limits.openCap counts, up to 8,192 calls.

--- a/src/call.rs
+++ b/src/call.rs
@@ -42,8 +42,9 @@
 const REMEMBERED: Micros = 600_000_000;
 /// Most tags remembered.
 const MOST_REMEMBERED: usize = 100_000;
-/// Most calls in the table.
-const MOST_OPEN: usize = 20_000;
+/// Most calls in the table, whatever the settings allow: with descriptions as long as a message they still fit into
+/// the memory.
+const MOST_OPEN: usize = 8_192;
 /// For how long a caller should stay away when the table is full.
 const OVERFULL_BACK_OFF: Micros = 1_000_000;
 /// A probe without an answer has failed after this.
@@ -218,15 +219,15 @@
 }
 
 impl Driver {
-    /// A driver with no call.
-    pub fn new(settings: Settings, names: Names, seed: u64, now: Micros) -> Self {
+    /// A driver with no call, for so many calls at most.
+    pub fn new(settings: Settings, names: Names, most_open: usize, seed: u64, now: Micros) -> Self {
         let (step, mut actions) = (settings.step, Vec::new());
         let module = Controller::new(settings, seed, now, &mut actions);
         let mut driver = Driver {
             module,
             names,
             step,
-            most_open: MOST_OPEN,
+            most_open: most_open.min(MOST_OPEN),
             calls: BTreeMap::new(),
             tags: HashMap::new(),
             last_id: 0,
@@ -647,7 +648,7 @@
                 serde_json::from_str(include_str!("../tests/exchanges/config.json")).unwrap();
             let (settings, names) = build(&flatten(&config["settings"])).unwrap();
             let now = 10_000 * MS;
-            let mut driver = Driver::new(settings, names, 7, now);
+            let mut driver = Driver::new(settings, names, 100, 7, now);
             let listed = [(0, 10), (1, 11)].map(|(number, exchange)| Listed {
                 exchange: ExchangeId(exchange),
                 zone: 0,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -75,6 +75,7 @@
     names: Names,
     connect_timeout: Micros,
     keepalive: Micros,
+    most_open: usize,
 }
 
 impl Config {
@@ -100,6 +101,7 @@
             feed: if file.feed.is_empty() { None } else { Some(address("feed", &file.feed)?) },
             known: file.known,
             connect_timeout: settings::span_or(&pairs, "limits.connectTimeoutS", CONNECT),
+            most_open: settings::count_or(&pairs, "limits.openCap", usize::MAX),
             keepalive: settings::span_or(&pairs, "limits.keepaliveS", KEEPALIVE),
             settings,
             names,
@@ -166,7 +168,7 @@
         .map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let mut node = Node {
         clock,
-        driver: Driver::new(config.settings, config.names, config.seed, now),
+        driver: Driver::new(config.settings, config.names, config.most_open, config.seed, now),
         callers,
         switches: Switches::new(handle.clone(), config.connect_timeout, config.keepalive, here),
         feed: Feed::new(handle.clone(), config.feed),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -224,8 +224,16 @@
 
 /// A span of the network side, which the module's settings don't hold.
 pub fn span_or(pairs: &Pairs, key: &str, usual: Micros) -> Micros {
-    let seconds = pairs.get(key).and_then(|v| v.parse::<f64>().ok()).filter(|s| *s > 0.0 && *s < 1e9);
-    seconds.map_or(usual, micros)
+    amount_or(pairs, key).map_or(usual, micros)
+}
+
+/// A count of the network side.
+pub fn count_or(pairs: &Pairs, key: &str, usual: usize) -> usize {
+    amount_or(pairs, key).map_or(usual, |n| n as usize)
+}
+
+fn amount_or(pairs: &Pairs, key: &str) -> Option<f64> {
+    pairs.get(key).and_then(|v| v.parse::<f64>().ok()).filter(|v| *v > 0.0 && *v < 1e9)
 }
 
 #[cfg(test)]
@@ -249,6 +257,14 @@
         assert_eq!(build(&pairs).unwrap_err().to_string(), "services: makes no sense");
     }
 
+    #[test]
+    fn what_only_the_network_side_reads_may_be_missing_or_odd() {
+        let pairs: Pairs =
+            [("a", "0.5"), ("b", "-1"), ("c", "x")].map(|(k, v)| (k.to_string(), v.to_string())).into();
+        assert_eq!(["a", "b", "c", "d"].map(|key| span_or(&pairs, key, 7)), [500_000, 7, 7, 7]);
+        assert_eq!((count_or(&pairs, "b", 9), count_or(&pairs, "a", 9)), (9, 0));
+    }
+
     #[test]
     fn reports_are_read_by_either_set_of_names() {
         let (mut a, mut b) = (Report::default(), Report::default());
