Read the configuration again on SIGHUP and move to the new control feed

Now: Signals also takes SIGHUP; Node::reload reads the file again and Node::move_feed asks the feed at its new address for what follows the last number. A bad file is one line of the log. Of 'known' only what follows is applied, or a whole list, so that no number is passed over or counted twice.

Test: tests/exchanges/reload.txt plays two moves and a bad file between them, with a call open; without the change the program ends at the first signal.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The gatekeeper's command line.
 
 use argh::FromArgs;
+use std::path::Path;
 use std::process::ExitCode;
 use wheatpier::net::{self, Config};
 
@@ -19,7 +20,7 @@
     Version(Version),
 }
 
-/// serve calls until SIGTERM
+/// serve calls until SIGTERM; SIGHUP has the configuration read again
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -44,15 +45,7 @@
 
 fn load(path: Option<String>) -> Result<Config, String> {
     let path = path.or_else(|| std::env::var("BALANCER_CONFIG").ok());
-    let path = path.ok_or("no configuration: name one by --config or BALANCER_CONFIG")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    let mut config = Config::parse(&text).map_err(|e| format!("{path}: {e}"))?;
-    // The environment has the last word on where to listen, and under which name.
-    if let Ok(listen) = std::env::var("BALANCER_LISTEN") {
-        config.listen = listen.parse().map_err(|_| format!("BALANCER_LISTEN: {listen:?} is no address"))?;
-    }
-    config.name = std::env::var("BALANCER_NAME").unwrap_or(config.name);
-    Ok(config)
+    Config::load(Path::new(&path.ok_or("no configuration: name one by --config or BALANCER_CONFIG")?))
 }
 
 fn run(command: Subcommand) -> Result<(), String> {
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -137,12 +137,32 @@
 impl Node {
     /// Takes over the events that were known at the start, and connects.
     pub(super) fn start_feed(&mut self, known: Known) {
+        let last = known.n;
+        self.take_known(known);
+        self.feed.last = self.feed.last.max(last);
+        self.connect_feed();
+    }
+
+    /// Takes over what a new configuration says: the events that are new here, and where the feed is now.
+    pub(super) fn move_feed(&mut self, address: Option<SocketAddr>, known: Known) {
+        self.take_known(known);
+        if self.feed.address != address {
+            // The old one tells nothing further: the new one is asked at once for all since the last number.
+            (self.feed.address, self.feed.gap) = (address, None);
+            self.close_feed("has moved", 0);
+        }
+    }
+
+    /// Each number counts once, and none is passed over: what is missing here the feed will tell.
+    fn take_known(&mut self, known: Known) {
         for event in known.events {
-            self.feed.last = self.feed.last.max(event.n);
-            self.apply(event);
+            let whole = event.members.as_ref().is_some_and(|m| m.whole);
+            let next = event.n == self.feed.last + 1;
+            if event.n > self.feed.last && (next || whole) {
+                self.feed.last = event.n;
+                self.apply(event);
+            }
         }
-        self.feed.last = self.feed.last.max(known.n);
-        self.connect_feed();
     }
 
     fn connect_feed(&mut self) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 use serde::Deserialize;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use switches::Switches;
 
@@ -61,8 +62,10 @@
     sockets: Option<usize>,
 }
 
-/// What a gatekeeper is told at its start.
+/// What a gatekeeper is told at its start, and again with each SIGHUP.
 pub struct Config {
+    /// The file that says so.
+    path: PathBuf,
     /// Its name.
     pub name: String,
     /// Where callers connect.
@@ -79,11 +82,23 @@
 }
 
 impl Config {
-    /// Reads the configuration's JSON.
+    /// Reads a configuration file. The environment has the last word on where to listen, and under which name.
     ///
     /// # Errors
     /// What is wrong with it, in one line.
-    pub fn parse(text: &str) -> Result<Self, String> {
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let said = |problem: String| format!("{}: {problem}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|e| said(e.to_string()))?;
+        let mut config = Self::parse(path, &text).map_err(said)?;
+        if let Ok(listen) = std::env::var("BALANCER_LISTEN") {
+            config.listen =
+                listen.parse().map_err(|_| format!("BALANCER_LISTEN: {listen:?} is no address"))?;
+        }
+        config.name = std::env::var("BALANCER_NAME").unwrap_or(config.name);
+        Ok(config)
+    }
+
+    fn parse(path: &Path, text: &str) -> Result<Self, String> {
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let pairs = settings::flatten(&file.settings);
         let (mut settings, names) = settings::build(&pairs).map_err(|p| format!("settings: {p}"))?;
@@ -92,6 +107,7 @@
             text.parse::<SocketAddr>().map_err(|_| format!("{key}: {text:?} is no address with a port"))
         };
         Ok(Config {
+            path: path.to_path_buf(),
             listen: address("listen", &file.listen)?,
             name: file.name,
             // Sixteen hex digits; of any other text the bytes serve as well.
@@ -138,6 +154,8 @@
     ready: bool,
     /// When the program was told to stop.
     stopping: Option<Micros>,
+    /// The configuration's file, which SIGHUP has read again.
+    path: PathBuf,
 }
 
 /// Runs a gatekeeper until it is told to stop and has answered all it took.
@@ -147,9 +165,13 @@
 pub fn serve(config: Config) -> Result<(), String> {
     let mut event_loop: EventLoop<'static, Node> = EventLoop::try_new().map_err(|e| format!("loop: {e}"))?;
     let handle = event_loop.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
+        .map_err(|e| format!("signals: {e}"))?;
     handle
-        .insert_source(signals, |_, _, node: &mut Node| node.stop())
+        .insert_source(signals, |event, _, node: &mut Node| match event.signal() {
+            Signal::SIGHUP => node.reload(),
+            _ => node.stop(),
+        })
         .map_err(|e| format!("signals: {}", e.error))?;
     let timer = Dispatcher::new(Timer::immediate(), |_, _, node: &mut Node| {
         // Guards against a lost wake-up: the turn's time may have been read just before the timer was due, so
@@ -176,6 +198,7 @@
         armed: None,
         ready: false,
         stopping: None,
+        path: config.path,
     };
     node.start_feed(config.known);
 
@@ -281,6 +304,19 @@
         }
     }
 
+    /// Reads the configuration again. The numbers of events, the calls and the connections stay; what the rest
+    /// of the file says counts from the next start.
+    fn reload(&mut self) {
+        match Config::load(&self.path) {
+            Ok(config) => {
+                log("configuration read again");
+                self.move_feed(config.feed, config.known);
+            }
+            // Guards against a file that is bad or half written: the gatekeeper goes on as it was.
+            Err(problem) => log(&format!("the old configuration stays: {problem}")),
+        }
+    }
+
     fn stop(&mut self) {
         if self.stopping.is_some() {
             return;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -6,6 +6,7 @@
 //!     PARTY opens | accepts | closes | resets | refuses     its connection, or with `refuses` its address
 //!     PARTY > BYTES     it sends          PARTY < BYTES     it gets these     PARTY < end   it is closed
 //!     signal TERM       exits 0           log TEXT          the program's log has a line with this text
+//!     config @moved     its file now names this address for the feed; any other text is written as it is
 //!
 //! A caller's bytes are hex digits and "text" (also "text"*N); #( ) puts a length of two bytes before what it
 //! holds. Others speak lines, where * stands for anything and @s1 for the address of s1.
@@ -14,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
@@ -28,6 +30,7 @@
 struct Play {
     program: Child,
     log: Receiver<String>,
+    path: PathBuf,
     at: String,
     listeners: BTreeMap<&'static str, TcpListener>,
     addresses: BTreeMap<&'static str, String>,
@@ -38,6 +41,7 @@
     fn drop(&mut self) {
         let _ = self.program.kill();
         let _ = self.program.wait();
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
@@ -51,6 +55,11 @@
     }
 }
 
+/// A text with the addresses in place of their names.
+fn named(text: &str, addresses: &BTreeMap<&str, String>) -> String {
+    addresses.iter().fold(text.to_string(), |text, (n, a)| text.replace(&format!("@{n}"), a))
+}
+
 /// The bytes of a caller's notation, up to a closing parenthesis.
 fn bytes(text: &mut &str) -> Vec<u8> {
     let mut out = Vec::new();
@@ -81,14 +90,12 @@
 impl Play {
     fn start() -> Self {
         let listeners: BTreeMap<_, _> =
-            ["s1", "s2", "feed"].map(|n| (n, TcpListener::bind("127.0.0.1:0").unwrap())).into();
+            ["s1", "s2", "feed", "moved"].map(|n| (n, TcpListener::bind("127.0.0.1:0").unwrap())).into();
         let addresses: BTreeMap<_, _> =
             listeners.iter().map(|(n, l)| (*n, l.local_addr().unwrap().to_string())).collect();
         listeners.values().for_each(|l| SockRef::from(l).set_read_timeout(HANG).unwrap());
-        let mut config = read("config.json");
-        addresses.iter().for_each(|(n, a)| config = config.replace(&format!("@{n}"), a));
         let path = std::env::temp_dir().join(format!("wheatpier-{}", addresses["feed"].replace(':', "-")));
-        std::fs::write(&path, config).unwrap();
+        std::fs::write(&path, named(&read("config.json"), &addresses)).unwrap();
         let mut program = Command::new(env!("CARGO_BIN_EXE_wheatpier"))
             .args(["serve", "--config", path.to_str().unwrap()])
             .stderr(Stdio::piped())
@@ -97,9 +104,8 @@
         let (lines, (send, log)) = (BufReader::new(program.stderr.take().unwrap()).lines(), channel());
         std::thread::spawn(move || lines.map_while(Result::ok).all(|line| send.send(line).is_ok()));
         let connections = BTreeMap::new();
-        let mut play = Play { program, log, at: String::new(), listeners, addresses, connections };
+        let mut play = Play { program, log, path, at: String::new(), listeners, addresses, connections };
         play.at = play.wait_for("listening on ").rsplit(' ').next().unwrap().to_string();
-        std::fs::remove_file(path).unwrap();
         play
     }
 
@@ -124,6 +130,11 @@
                 assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
             }
             ("exits", code) => assert_eq!(self.program.wait().unwrap().code(), code.parse().ok()),
+            ("config", text) => {
+                let moved = read("config.json").replace("@feed", text);
+                let text = if text.starts_with('@') { named(&moved, &self.addresses) } else { text.into() };
+                std::fs::write(&self.path, text).unwrap();
+            }
             ("log", _) => drop(self.wait_for(rest)),
             (_, "opens" | "accepts") => {
                 let stream = match does {
@@ -171,8 +182,7 @@
         if party.starts_with('c') {
             return bytes(&mut &*what);
         }
-        let named = |text: String, (n, a): (&&str, &String)| text.replace(&format!("@{n}"), a);
-        let text = self.addresses.iter().fold(what.to_string(), named);
+        let text = named(what, &self.addresses);
         // A line that ends in \ is a part of one.
         text.strip_suffix('\\').map_or(format!("{text}\n"), str::to_string).into_bytes()
     }
@@ -226,6 +236,7 @@
     no_caller_connected
     refused_connection
     refusals
+    reload
     reset_waits_for_the_release
     silent_switch
     sigterm
