Refuse, close or bound what bad callers send, and make room by closing the idlest

A probe that logged each message shows what those switches could not read: a set-up with the id 0, each followed within milliseconds by the refusal of tag 0 and the close. Set-ups under an id in use were dropped without a word (2,798 lines of one log), 'dest:nan' was read as exchange 0.

At fault: Callers::add, which let the listener rest; set_up in callers.rs, where 'as i64' turns what is no number into nought and a negative 'left' into 0; Driver::set_up, which took any id, destination and width and ignored ids in use; nothing ever closed a silent or half-sent connection. Ruled out: the answers themselves (binary messages are decoded in full before use, and lengths are checked before anything is allocated).

Releases go to callers that are known to make sense. Answers and refusals under ids never sent are ignored.

Tests: tests/exchanges/bad_callers.txt and flood.txt, each of which hangs without the change; the ids in use in duplicate_and_unknown_ids.txt; bounds of a set-up in settings.rs. The exchanges' wait for a log line now ends for good.

Left: each spoilt answer makes its switch doubted.

--- a/src/call.rs
+++ b/src/call.rs
@@ -42,14 +42,33 @@
 const REMEMBERED: Micros = 600_000_000;
 /// Most tags remembered.
 const MOST_REMEMBERED: usize = 100_000;
-/// Most calls in the table, whatever the settings allow: with descriptions as long as a message they still fit into
-/// the memory.
-const MOST_OPEN: usize = 8_192;
-/// For how long a caller should stay away when the table is full.
+/// For how long a caller should stay away when there is no place for its call.
 const OVERFULL_BACK_OFF: Micros = 1_000_000;
 /// A probe without an answer has failed after this.
 const PROBE_WAIT: Micros = 250_000;
 
+/// What set-ups may name, and how much of them may be held.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Most calls in the table.
+    pub calls: usize,
+    /// Most bytes of the descriptions that open calls hold.
+    pub descriptions: usize,
+    /// Longest that a caller may say it waits.
+    pub longest: Micros,
+    /// Circuits that a call of each class takes, where the settings say so.
+    pub widths: Vec<f64>,
+}
+
+/// Why a set-up is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Its class or its figures make no sense.
+    Senseless,
+    /// Its id is that of a call that is open or stands.
+    InUse,
+}
+
 /// A set-up as a caller sent it.
 #[derive(Clone, Debug, Default)]
 pub struct SetUp {
@@ -166,6 +185,8 @@
     Link(ExchangeId),
     /// The control feed has.
     Feed,
+    /// The callers' connections are to be looked after.
+    Callers,
     /// The end of the program may be near.
     Stop,
 }
@@ -199,7 +220,9 @@
     module: Controller,
     names: Names,
     step: Micros,
-    most_open: usize,
+    limits: Limits,
+    /// Bytes of descriptions in the table.
+    held: usize,
     calls: BTreeMap<CallId, Call>,
     tags: HashMap<Tag, CallId>,
     last_id: u64,
@@ -219,15 +242,16 @@
 }
 
 impl Driver {
-    /// A driver with no call, for so many calls at most.
-    pub fn new(settings: Settings, names: Names, most_open: usize, seed: u64, now: Micros) -> Self {
+    /// A driver with no call.
+    pub fn new(settings: Settings, names: Names, limits: Limits, seed: u64, now: Micros) -> Self {
         let (step, mut actions) = (settings.step, Vec::new());
         let module = Controller::new(settings, seed, now, &mut actions);
         let mut driver = Driver {
             module,
             names,
             step,
-            most_open: most_open.min(MOST_OPEN),
+            limits,
+            held: 0,
             calls: BTreeMap::new(),
             tags: HashMap::new(),
             last_id: 0,
@@ -265,24 +289,34 @@
 
     // What callers send.
 
-    /// A set-up has come.
-    pub fn set_up(&mut self, now: Micros, origin: Origin, new: SetUp) {
+    /// A set-up has come. One for which there is no place is refused here and never reaches the module.
+    ///
+    /// # Errors
+    /// It is not taken, and nothing was answered.
+    pub fn set_up(&mut self, now: Micros, origin: Origin, new: SetUp) -> Result<(), Fault> {
+        // Guards against two answers to one id: the first set-up alone is answered.
         if self.tags.contains_key(&new.tag) {
-            // Guards against two answers to one id: the first set-up alone is answered.
-            return self.log(format!("set-up {:016x}: the id is in use; ignored", new.tag));
+            return Err(Fault::InUse);
         }
-        if self.calls.len() >= self.most_open {
-            // Guards the memory: the settings name how many calls may be open, and the rest never reaches the module.
-            let (tag, cause) = (new.tag, cause::CONGESTION);
-            return self.commands.push(Command::Reject { origin, tag, cause, back_off: OVERFULL_BACK_OFF });
+        let class = self.names.classes.iter().position(|c| *c == new.class).ok_or(Fault::Senseless)?;
+        let fits = |w: &f64| (new.width - w).abs() < 1e-9;
+        // Guards the switches and the module's figures against what no caller means: a switch closes its
+        // connection, with all that is open on it, on what it can't read.
+        let sound = new.tag != 0
+            && self.limits.widths.get(class).map_or(new.width > 0.0 && new.width <= 1e3, fits)
+            && (0..=1_000_000).contains(&new.destination)
+            && (-1..=1_000_000).contains(&new.via)
+            && (0..=self.limits.longest).contains(&new.left);
+        if !sound {
+            return Err(Fault::Senseless);
         }
-        let class = self.names.classes.iter().position(|c| *c == new.class);
-        let sound = new.width.is_finite() && (0.0..=1e6).contains(&new.width);
-        let Some(class) = class.filter(|_| sound) else {
-            self.log(format!("set-up {:016x}: its class or figures make no sense", new.tag));
-            let (tag, cause) = (new.tag, cause::INVALID);
-            return self.commands.push(Command::Reject { origin, tag, cause, back_off: 0 });
-        };
+        let held = self.held + new.description.as_ref().map_or(0, String::len);
+        if self.calls.len() >= self.limits.calls || held > self.limits.descriptions {
+            // Guards the memory, by the limits of the settings and the configuration.
+            self.turn_away(origin, new.tag);
+            return Ok(());
+        }
+        self.held = held;
         self.last_id += 1;
         let id = CallId(self.last_id);
         let give_up_at = now.saturating_add(new.left);
@@ -302,6 +336,13 @@
         let (tag, called, description) = (new.tag, new.called, new.description);
         let (attempts, stage) = (0, Stage::Open(None));
         self.calls.insert(id, Call { tag, origin, class, called, description, give_up_at, attempts, stage });
+        Ok(())
+    }
+
+    /// Refuses a set-up for which there is no place; the module never hears of it.
+    pub fn turn_away(&mut self, origin: Origin, tag: Tag) {
+        let back_off = OVERFULL_BACK_OFF;
+        self.commands.push(Command::Reject { origin, tag, cause: cause::CONGESTION, back_off });
     }
 
     /// A caller has given its set-up up, or released its call.
@@ -330,6 +371,15 @@
         owed.map(|c| c.tag)
     }
 
+    /// All connections that wait for an answer, and for how many.
+    pub fn owed(&self) -> BTreeMap<Origin, usize> {
+        let mut owed = BTreeMap::new();
+        for call in self.calls.values().filter(|c| matches!(c.stage, Stage::Open(_))) {
+            *owed.entry(call.origin).or_default() += 1;
+        }
+        owed
+    }
+
     /// The caller has no more use for the call: what it has at a switch is given up.
     fn abandon(&mut self, now: Micros, id: CallId) {
         match self.take(now, id).map(|c| (c.tag, c.stage)) {
@@ -361,7 +411,7 @@
                     call.stage = Stage::Standing { switch, sent, attempt };
                     let took = now - sent;
                     // It is not needed again, and calls stand for long.
-                    call.description = None;
+                    self.held -= call.description.take().map_or(0, |d| d.len());
                     self.events.push(Event::Standing { call: id, attempt, took });
                     let origin = call.origin;
                     return self.commands.push(Command::Answer { origin, tag, description });
@@ -370,15 +420,19 @@
                 _ => {}
             }
         }
-        // Guards against an answer that crossed its cancel: what was given up must not stay standing.
-        self.give_up(tag, switch);
+        // Guards against an answer that crossed its cancel: what was given up must not stay standing. One under
+        // an id that was never sent is nobody's.
+        if id.is_some() || self.over.contains_key(&tag) {
+            self.give_up(tag, switch);
+        }
     }
 
     /// An attempt has failed, or a call that stood is over.
     pub fn ended(&mut self, now: Micros, switch: ExchangeId, tag: Tag, release: Release) {
         let Some(id) = self.tags.get(&tag).copied() else {
             self.state(switch, release.report);
-            if !self.over.contains_key(&tag) {
+            let was_standing = matches!(release.cause, cause::NORMAL | cause::BROKEN);
+            if was_standing && !self.over.contains_key(&tag) {
                 // A call of before the last restart: its caller still has it.
                 self.remember(now, tag);
                 self.commands.push(Command::Release { origin: None, tag, cause: release.cause });
@@ -507,7 +561,7 @@
                 }
             }
             Due::Probe(tag) => self.probed(now, tag, false, Report::default()),
-            Due::Link(_) | Due::Feed | Due::Stop => {}
+            Due::Link(_) | Due::Feed | Due::Callers | Due::Stop => {}
         }
     }
 
@@ -596,6 +650,7 @@
     fn take(&mut self, now: Micros, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
         self.tags.remove(&call.tag);
+        self.held -= call.description.as_ref().map_or(0, String::len);
         self.remember(now, call.tag);
         Some(call)
     }
@@ -648,7 +703,8 @@
                 serde_json::from_str(include_str!("../tests/exchanges/config.json")).unwrap();
             let (settings, names) = build(&flatten(&config["settings"])).unwrap();
             let now = 10_000 * MS;
-            let mut driver = Driver::new(settings, names, 100, 7, now);
+            let limits = Limits { calls: 100, descriptions: 10_000, longest: 9_000 * MS, widths: vec![1.0] };
+            let mut driver = Driver::new(settings, names, limits, 7, now);
             let listed = [(0, 10), (1, 11)].map(|(number, exchange)| Listed {
                 exchange: ExchangeId(exchange),
                 zone: 0,
@@ -688,7 +744,7 @@
             let (class, called) = ("check".into(), format!("n{tag}"));
             let (destination, width, via) = (1, 1.0, -1);
             let new = SetUp { tag, class, called, left, destination, width, via, ..SetUp::default() };
-            self.driver.set_up(self.now, ORIGIN, new);
+            self.driver.set_up(self.now, ORIGIN, new).unwrap();
             self.now += 10 * MS;
             self.turn()
         }
@@ -783,7 +839,7 @@
     #[test]
     fn a_full_table_refuses_without_asking_the_module() {
         let mut rig = Rig::new();
-        rig.driver.most_open = 1;
+        rig.driver.limits.calls = 1;
         rig.call(1, 3000 * MS);
         let (origin, tag, cause, back_off) = (ORIGIN, 2, cause::CONGESTION, OVERFULL_BACK_OFF);
         assert_eq!(rig.call(2, 3000 * MS), [Command::Reject { origin, tag, cause, back_off }]);
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -3,8 +3,8 @@
 use super::binary::{self, Message, code, kind};
 use super::link::{Link, Progress};
 use super::{Node, Unread, log};
-use crate::call::{Origin, SetUp, Tag, cause};
-use crate::interface::Micros;
+use crate::call::{Due, Fault, Origin, SetUp, Tag, cause};
+use crate::interface::{Micros, Number};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use std::collections::{BTreeMap, VecDeque};
@@ -13,62 +13,126 @@
 
 /// Most releases that wait for a caller to connect.
 const MOST_WAITING: usize = 65_536;
-/// Longest that a caller may say it waits.
-const LONGEST: Micros = 86_400_000_000;
+/// Connections taken from the listener in a turn: those of a flood are read, and the useless ones told from the
+/// others, before more are taken.
+const ACCEPTS: usize = 16;
+/// How often connections are looked after.
+const LOOK: Micros = 250_000;
+/// A connection that has brought nothing of use by then is closed, and so is one on which part of a message has
+/// waited for so long for the rest.
+const PATIENCE: Micros = 2_000_000;
+/// One without an open set-up on which nothing has come for so long is closed. Callers close theirs after 4 s.
+const IDLE: Micros = 5_000_000;
+/// A release waits for so long for a caller known to make sense before any connection will do.
+const RELEASE_WAIT: Micros = 500_000;
+/// A connection that has sent so many messages that make no sense is closed.
+const STRIKES: u32 = 16;
+/// Set-ups that may be open on a connection on which no call has stood yet. More come only from one that sends
+/// without looking at what it is answered.
+const UNPROVEN: usize = 128;
+
+/// What is known of a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Trust {
+    /// It has said nothing of use.
+    None,
+    /// It has sent a message that makes sense.
+    Sound,
+    /// A call of its stood.
+    Proven,
+}
 
 struct Caller {
     link: Link,
     /// It has finished sending: it is closed once nothing is owed on it.
     ended: bool,
+    trust: Trust,
+    /// When something of use last came, or the connection itself.
+    used: Micros,
+    /// Since when part of a message has waited for the rest.
+    part: Option<Micros>,
+    strikes: u32,
 }
 
 /// All connections from callers.
 pub struct Callers {
     handle: LoopHandle<'static, Node>,
-    listener: RegistrationToken,
-    /// The listener rests while the descriptors set apart for callers are used up.
-    resting: bool,
-    most: usize,
+    /// Most connections at a time, and most bytes unsent on one.
+    most: (usize, usize),
     callers: BTreeMap<Origin, Caller>,
     last: u64,
     /// Tests that came before the gatekeeper was ready.
     tests: Vec<(Origin, Tag)>,
-    /// Releases for which no caller was connected.
-    releases: VecDeque<(Tag, u8)>,
+    /// Releases for which no caller was connected, and since when they wait.
+    releases: VecDeque<(Tag, u8, Micros)>,
+    /// Connections closed since the last log line about them: the last reason, and how many.
+    closed: (String, usize),
 }
 
 impl Callers {
-    /// Listens on an address for at most so many connections.
-    pub fn listen(handle: LoopHandle<'static, Node>, at: SocketAddr, most: usize) -> io::Result<Self> {
+    /// Listens on an address for at most so many connections, each with so many bytes unsent at most.
+    pub fn listen(
+        handle: LoopHandle<'static, Node>, at: SocketAddr, most: usize, most_unsent: usize,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(at)?;
         listener.set_nonblocking(true)?;
         log(&format!("listening on {}", listener.local_addr()?));
         let source = Generic::new(listener, Interest::READ, Mode::Level);
-        let listener = handle
+        let _: RegistrationToken = handle
             .insert_source(source, |_, listener, node| {
                 node.accept(listener);
                 Ok(PostAction::Continue)
             })
             .map_err(|e| io::Error::other(e.to_string()))?;
-        let (callers, tests, releases) = (BTreeMap::new(), vec![], VecDeque::new());
-        Ok(Callers { handle, listener, resting: false, most, callers, last: 0, tests, releases })
+        Ok(Callers {
+            handle,
+            most: (most, most_unsent),
+            callers: BTreeMap::new(),
+            last: 0,
+            tests: vec![],
+            releases: VecDeque::new(),
+            closed: (String::new(), 0),
+        })
     }
 
-    fn add(&mut self, stream: TcpStream) {
+    fn add(&mut self, now: Micros, stream: TcpStream) {
         self.last += 1;
         let origin = Origin(self.last);
-        match Link::new(&self.handle, stream, move |node| node.caller_ready(origin)) {
+        match Link::new(&self.handle, stream, self.most.1, move |node| node.caller_ready(origin)) {
             Ok(link) => {
-                self.callers.insert(origin, Caller { link, ended: false });
+                let (ended, trust, used, part, strikes) = (false, Trust::None, now, None, 0);
+                self.callers.insert(origin, Caller { link, ended, trust, used, part, strikes });
             }
             Err(e) => log(&format!("a caller's connection failed: {e}")),
         }
-        for (tag, cause) in std::mem::take(&mut self.releases) {
-            self.release(Some(origin), tag, cause);
-        }
-        if self.callers.len() >= self.most && !self.resting {
-            self.resting = self.handle.disable(&self.listener).is_ok();
-            log(&format!("{} callers' connections are open: no more for now", self.callers.len()));
+    }
+
+    /// The connection that can best be done without: of those on which no set-up is open the least trusted, and
+    /// of these the idlest.
+    fn idlest(&self, owed: &BTreeMap<Origin, usize>) -> Option<Origin> {
+        let idle = self.callers.iter().filter(|(origin, _)| !owed.contains_key(origin));
+        idle.min_by_key(|(_, c)| (c.trust, c.used)).map(|(origin, _)| *origin)
+    }
+
+    /// Connections that have been of no use for too long.
+    fn useless(&self, now: Micros, owed: &BTreeMap<Origin, usize>) -> Vec<(Origin, &'static str)> {
+        let why = |(origin, c): (&Origin, &Caller)| {
+            let patience = if c.trust == Trust::None { PATIENCE } else { IDLE };
+            if c.part.is_some_and(|since| now >= since + PATIENCE) {
+                Some((*origin, "part of a message came and no more"))
+            } else if !owed.contains_key(origin) && now >= c.used + patience {
+                Some((*origin, "nothing of use came for too long"))
+            } else {
+                None
+            }
+        };
+        self.callers.iter().filter_map(why).collect()
+    }
+
+    /// Something of use has come on a connection, or been said on it.
+    fn trust(&mut self, now: Micros, origin: Origin, trust: Trust) {
+        if let Some(caller) = self.callers.get_mut(&origin) {
+            (caller.used, caller.trust) = (now, caller.trust.max(trust));
         }
     }
 
@@ -81,13 +145,14 @@
     }
 
     /// Tells a caller that its call stands.
-    pub fn answer(&mut self, origin: Origin, tag: Tag, description: Option<String>) {
+    pub fn answer(&mut self, now: Micros, origin: Origin, tag: Tag, description: Option<String>) {
         let answer = Message::new(kind::ANSWER, tag);
         let answer = match description {
             Some(d) => answer.with(code::DESCRIPTION, d),
             None => answer,
         };
         self.write(origin, &answer);
+        self.trust(now, origin, Trust::Proven);
     }
 
     /// Tells a caller that its call does not stand, and for how long to stay away.
@@ -99,19 +164,37 @@
         self.write(origin, &refusal);
     }
 
-    /// Releases a standing call: on its set-up's connection, else on any, else on the next that opens.
-    pub fn release(&mut self, origin: Option<Origin>, tag: Tag, cause: u8) {
+    /// Releases a standing call: on its set-up's connection, else on that of a caller known to make sense, else
+    /// as soon as there is one.
+    pub fn release(&mut self, now: Micros, origin: Option<Origin>, tag: Tag, cause: u8) {
         let open = |o: &Origin| self.callers.get(o).is_some_and(|c| !c.ended);
-        let any = || self.callers.iter().rev().find(|(_, c)| !c.ended).map(|(o, _)| *o);
-        match origin.filter(open).or_else(any) {
-            Some(origin) => {
-                self.write(origin, &Message::new(kind::RELEASE, tag).with(code::CAUSE, [cause]));
-            }
-            None if self.releases.len() < MOST_WAITING => self.releases.push_back((tag, cause)),
+        match origin.filter(open).or_else(|| self.best(Trust::Sound)) {
+            Some(origin) => self.write_release(origin, tag, cause),
+            None if self.releases.len() < MOST_WAITING => self.releases.push_back((tag, cause, now)),
             None => log("too many releases wait for a caller: one is dropped"),
         }
     }
 
+    fn write_release(&mut self, origin: Origin, tag: Tag, cause: u8) {
+        self.write(origin, &Message::new(kind::RELEASE, tag).with(code::CAUSE, [cause]));
+    }
+
+    /// The connection that most likely has a caller at its end who reads it.
+    fn best(&self, least: Trust) -> Option<Origin> {
+        let open = self.callers.iter().filter(|(_, c)| !c.ended && c.trust >= least);
+        open.max_by_key(|(_, c)| (c.trust, c.used)).map(|(origin, _)| *origin)
+    }
+
+    /// Releases that waited for a caller go out.
+    fn release_waiting(&mut self, now: Micros) {
+        while let Some((tag, cause, since)) = self.releases.front().copied() {
+            let least = if now >= since + RELEASE_WAIT { Trust::None } else { Trust::Sound };
+            let Some(origin) = self.best(least) else { break };
+            self.write_release(origin, tag, cause);
+            self.releases.pop_front();
+        }
+    }
+
     /// Answers the tests that have come, once the gatekeeper is ready.
     pub fn pass_tests(&mut self, passed: bool) {
         for (origin, tag) in std::mem::take(&mut self.tests) {
@@ -147,23 +230,33 @@
         over
     }
 
-    /// The one place where a caller's connection is given back.
+    /// The one place where a caller's connection is given back. What was said to it is written first.
     fn close(&mut self, origin: Origin) {
-        if let Some(caller) = self.callers.remove(&origin) {
+        if let Some(mut caller) = self.callers.remove(&origin) {
+            // It is closed in any case: whatever is not taken now is lost.
+            let _ = caller.link.flush();
             caller.link.close(&self.handle);
             self.tests.retain(|t| t.0 != origin);
         }
-        if self.resting && self.callers.len() < self.most {
-            self.resting = self.handle.enable(&self.listener).is_err();
-        }
     }
 }
 
 impl Node {
     fn accept(&mut self, listener: &TcpListener) {
-        while !self.callers.resting {
+        let now = self.clock.now();
+        for _ in 0..ACCEPTS {
             match listener.accept() {
-                Ok((stream, _)) => self.callers.add(stream),
+                Ok((stream, _)) => {
+                    if self.callers.callers.len() >= self.callers.most.0 {
+                        // Guards the descriptors. A listener that rests instead would keep callers out for as
+                        // long as others hold their connections for nothing.
+                        match self.callers.idlest(&self.driver.owed()) {
+                            Some(origin) => self.close_useless(origin, "others need its place"),
+                            None => continue,
+                        }
+                    }
+                    self.callers.add(now, stream);
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) => return log(&format!("a caller could not be accepted: {e}")),
@@ -171,8 +264,40 @@
         }
     }
 
+    /// Closes connections that hold their place for nothing, and sends releases that waited for a caller.
+    pub(super) fn look_after_callers(&mut self) {
+        let now = self.clock.now();
+        for (origin, why) in self.callers.useless(now, &self.driver.owed()) {
+            self.close_useless(origin, why);
+        }
+        self.callers.release_waiting(now);
+        let (why, n) = std::mem::take(&mut self.callers.closed);
+        if n > 0 {
+            log(&format!("callers' connections closed: {n}, the last since {why}"));
+        }
+        self.driver.timers.push(now + LOOK, Due::Callers);
+    }
+
+    /// Closes a connection whose caller makes no sense. Many may come: the log has a line for all of them.
+    fn close_useless(&mut self, origin: Origin, why: &str) {
+        self.callers.closed = (why.to_string(), self.callers.closed.1 + 1);
+        self.close_caller(origin);
+    }
+
+    /// A message made no sense; true if the connection lives on.
+    fn strike(&mut self, origin: Origin, why: &str) -> bool {
+        let Some(caller) = self.callers.callers.get_mut(&origin) else { return false };
+        caller.strikes += 1;
+        let lives = caller.strikes < STRIKES;
+        if !lives {
+            self.close_useless(origin, why);
+        }
+        lives
+    }
+
     /// Something has come on a caller's connection, or it has room again.
     pub(super) fn caller_ready(&mut self, origin: Origin) {
+        let now = self.clock.now();
         let Some(caller) = self.callers.callers.get_mut(&origin) else { return };
         if caller.ended {
             // Nothing more comes but the reset of a caller that is gone.
@@ -183,12 +308,16 @@
         }
         let progress = caller.link.read();
         let (messages, result) = caller.link.messages(binary::decode);
+        // The wait for the rest begins anew with each message that has come whole.
+        let since = caller.part.filter(|_| messages.is_empty()).or(Some(now));
+        caller.part = since.filter(|_| !caller.link.input.is_empty());
         for message in messages {
-            self.heard_caller(origin, message);
+            if !self.heard_caller(origin, message) {
+                return;
+            }
         }
         if let Err(what) = result {
-            log(&format!("a caller sent {what}: its connection is closed"));
-            return self.close_caller(origin);
+            return self.close_useless(origin, &format!("it sent {what}"));
         }
         match progress {
             Progress::Blocked => {}
@@ -207,23 +336,61 @@
         }
     }
 
-    fn heard_caller(&mut self, origin: Origin, message: Message) {
+    /// Takes a message; false if the connection is closed over it.
+    fn heard_caller(&mut self, origin: Origin, message: Message) -> bool {
         let (now, tag) = (self.clock.now(), message.call);
+        let trust = self.callers.callers.get(&origin).map_or(Trust::None, |c| c.trust);
         match message.kind {
-            kind::SET_UP => match set_up(&message) {
-                Some(new) => self.driver.set_up(now, origin, new),
-                None => {
-                    log(&format!("set-up {tag:016x}: a parameter is missing or makes no sense"));
-                    self.callers.reject(origin, tag, cause::INVALID, 0);
-                }
-            },
-            kind::RELEASE => {
+            kind::SET_UP => return self.heard_set_up(now, origin, &message, trust),
+            kind::RELEASE if tag != 0 => {
                 self.driver.released(now, tag);
                 self.callers.write(origin, &Message::new(kind::RELEASED, tag));
+                self.callers.trust(now, origin, trust);
+            }
+            kind::TEST => {
+                self.callers.tests.push((origin, tag));
+                self.callers.trust(now, origin, Trust::Sound);
+            }
+            kind::RELEASED | kind::PROGRESS => {}
+            // From a caller that is known to make sense, a message of a later protocol.
+            _ if trust == Trust::Proven => {}
+            _ => {
+                self.close_useless(origin, "it sent a message that no caller sends");
+                return false;
+            }
+        }
+        true
+    }
+
+    fn heard_set_up(&mut self, now: Micros, origin: Origin, message: &Message, trust: Trust) -> bool {
+        let tag = message.call;
+        let unproven = trust != Trust::Proven;
+        let taken = match set_up(message) {
+            Some(_) if unproven && self.driver.owed().get(&origin).is_some_and(|n| *n >= UNPROVEN) => {
+                // Guards the others against one that sends without end: its place is bounded.
+                self.driver.turn_away(origin, tag);
+                return true;
+            }
+            Some(new) => self.driver.set_up(now, origin, new),
+            None => Err(Fault::Senseless),
+        };
+        match taken {
+            Ok(()) => self.callers.trust(now, origin, Trust::Sound),
+            Err(Fault::Senseless) => {
+                self.callers.reject(origin, tag, cause::INVALID, 0);
+                return self.strike(origin, "its set-ups make no sense");
+            }
+            // An answer could be taken for that to the first set-up: a stranger's connection is closed instead.
+            Err(Fault::InUse) if unproven => {
+                self.close_useless(origin, "it sent a set-up whose id is in use");
+                return false;
+            }
+            Err(Fault::InUse) => {
+                log(&format!("set-up {tag:016x}: the id is in use; ignored"));
+                return self.strike(origin, "it sent set-ups whose ids are in use");
             }
-            kind::TEST => self.callers.tests.push((origin, tag)),
-            _ => {}
         }
+        true
     }
 
     /// A caller's connection is over, and with it the set-ups that were open on it.
@@ -236,11 +403,15 @@
 
 /// A set-up's parameters.
 fn set_up(message: &Message) -> Option<SetUp> {
+    let called = message.text(code::CALLED)?;
+    if called.is_empty() || called.len() > 64 || !called.bytes().all(|b| b.is_ascii_graphic()) {
+        return None;
+    }
     let mut new = SetUp {
         tag: message.call,
         class: message.text(code::CLASS)?.to_string(),
-        called: message.text(code::CALLED)?.to_string(),
-        left: message.text(code::LEFT)?.parse::<i64>().ok()?.saturating_mul(1000).clamp(0, LONGEST),
+        called: called.to_string(),
+        left: message.text(code::LEFT)?.parse::<i64>().ok()?.saturating_mul(1000),
         redial: message.text(code::REDIAL).is_some_and(|r| r != "0"),
         destination: -1,
         width: 1.0,
@@ -250,12 +421,14 @@
     };
     for figure in message.text(code::FIGURES)?.split(';').filter(|f| !f.is_empty()) {
         let (name, value) = figure.split_once(':')?;
-        let value = value.parse::<f64>().ok()?;
+        // What is no number, or none at all, must not pass as nought.
+        let value = value.parse::<f64>().ok().filter(|v| v.is_finite())?;
+        let whole = (value.fract() == 0.0 && value.abs() <= 1e9).then_some(value as Number);
         match name {
-            "dest" => new.destination = value as i64,
+            "dest" => new.destination = whole?,
             "width" => new.width = value,
-            "via" => new.via = value as i64,
-            "transit" => new.transit = value != 0.0,
+            "via" => new.via = whole?,
+            "transit" => new.transit = whole? != 0,
             _ => {}
         }
     }
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -1,7 +1,7 @@
 //! The control feed: the numbered events that change the list of carrier switches.
 
 use super::lines;
-use super::link::{Link, Progress};
+use super::link::{Decoded, Link, Progress};
 use super::switches::Host;
 use super::{Node, Unread, log};
 use crate::call::Due;
@@ -17,9 +17,6 @@
 const SILENCE: Micros = 2_500_000;
 /// Wait before it is connected to again.
 const RETRY: Micros = 200_000;
-/// Most bytes of a line: a whole list may be longer than a call's message.
-const MOST: usize = 1 << 20;
-
 /// A line of the feed, or of the configuration's `known`.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Event {
@@ -105,12 +102,14 @@
     due: Micros,
     /// An event was missed after this number, and all since has been asked for once.
     gap: Option<u64>,
+    /// Most bytes of a line: a whole list may be longer than a call's message.
+    most: usize,
 }
 
 impl Feed {
     /// A feed that is not connected yet.
-    pub fn new(handle: LoopHandle<'static, Node>, address: Option<SocketAddr>) -> Self {
-        Feed { handle, address, link: None, asked: false, last: 0, due: 0, gap: None }
+    pub fn new(handle: LoopHandle<'static, Node>, address: Option<SocketAddr>, most: usize) -> Self {
+        Feed { handle, address, link: None, asked: false, last: 0, due: 0, gap: None, most }
     }
 
     /// Writes what waits.
@@ -124,8 +123,8 @@
     Event(Event),
 }
 
-fn decode(bytes: &[u8]) -> Result<Option<(Line, usize)>, &'static str> {
-    let Some((line, taken)) = lines::line(bytes, MOST)? else { return Ok(None) };
+fn decode(bytes: &[u8], most: usize) -> Decoded<Line> {
+    let Some((line, taken)) = lines::line(bytes, most)? else { return Ok(None) };
     let text = std::str::from_utf8(line).map_err(|_| "a line that is no text")?.trim();
     let line = match text.parse() {
         Ok(last) => Line::Last(last),
@@ -168,7 +167,7 @@
     fn connect_feed(&mut self) {
         let now = self.clock.now();
         let Some(address) = self.feed.address else { return };
-        match Link::connect(&self.feed.handle, address, Node::feed_ready) {
+        match Link::connect(&self.feed.handle, address, self.feed.most, Node::feed_ready) {
             Ok(link) => self.feed.link = Some(link),
             Err(e) => log(&format!("the control feed cannot be reached: {e}")),
         }
@@ -222,7 +221,8 @@
         }
         let Some(link) = &mut self.feed.link else { return };
         let progress = link.read();
-        let (lines, result) = link.messages(decode);
+        let most = self.feed.most;
+        let (lines, result) = link.messages(|bytes| decode(bytes, most));
         if !lines.is_empty() {
             self.set_feed_due(now + SILENCE);
         }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -9,10 +9,7 @@
 use std::rc::Rc;
 
 /// Bytes read at a time; other connections have their turn in between.
-const CHUNK: usize = 64 * 1024;
-/// Most bytes that wait for a peer that does not read: with all descriptors in use by such peers, the program
-/// stays within its memory.
-const MOST_UNSENT: usize = 128 * 1024;
+const CHUNK: usize = 16 * 1024;
 
 /// What a read came to.
 #[derive(Debug, PartialEq)]
@@ -35,12 +32,15 @@
     /// What has come and is not read yet.
     pub input: Vec<u8>,
     output: Vec<u8>,
+    /// Most bytes that wait for a peer that does not read.
+    most_unsent: usize,
 }
 
 impl Link {
     /// Puts a socket into the loop. The callback runs when there is something to read or room to write.
     pub fn new(
-        handle: &LoopHandle<'static, Node>, stream: TcpStream, callback: impl Fn(&mut Node) + 'static,
+        handle: &LoopHandle<'static, Node>, stream: TcpStream, most_unsent: usize,
+        callback: impl Fn(&mut Node) + 'static,
     ) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
@@ -53,12 +53,13 @@
                 Ok(PostAction::Continue)
             })
             .map_err(|e| io::Error::other(e.to_string()))?;
-        Ok(Link { stream, token, input: vec![], output: vec![] })
+        Ok(Link { stream, token, input: vec![], output: vec![], most_unsent })
     }
 
     /// Starts to connect; [`Link::connected`] tells how that went.
     pub fn connect(
-        handle: &LoopHandle<'static, Node>, to: SocketAddr, callback: impl Fn(&mut Node) + 'static,
+        handle: &LoopHandle<'static, Node>, to: SocketAddr, most_unsent: usize,
+        callback: impl Fn(&mut Node) + 'static,
     ) -> io::Result<Self> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
@@ -66,7 +67,7 @@
             Err(e) if !in_progress(&e) => return Err(e),
             _ => {}
         }
-        Link::new(handle, socket.into(), callback)
+        Link::new(handle, socket.into(), most_unsent, callback)
     }
 
     /// Whether a connection that was being set up has come up.
@@ -83,16 +84,15 @@
 
     /// Reads what is there, a chunk at most.
     pub fn read(&mut self) -> Progress {
-        let had = self.input.len();
-        self.input.resize(had + CHUNK, 0);
+        // What is kept of a message in parts is as long as its parts: many peers may leave theirs unfinished.
+        let mut chunk = [0; CHUNK];
         let result = loop {
-            match (&*self.stream).read(self.input.get_mut(had..).unwrap_or_default()) {
+            match (&*self.stream).read(&mut chunk) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 other => break other,
             }
         };
-        let got = *result.as_ref().unwrap_or(&0);
-        self.input.truncate(had + got);
+        self.input.extend_from_slice(chunk.get(..*result.as_ref().unwrap_or(&0)).unwrap_or_default());
         match result {
             Ok(0) => Progress::End,
             Ok(_) => Progress::More,
@@ -102,7 +102,9 @@
     }
 
     /// The messages that have come whole, by a codec's `decode`; what has come of the next one stays.
-    pub fn messages<M>(&mut self, decode: Decode<M>) -> (Vec<M>, Result<(), &'static str>) {
+    pub fn messages<M>(
+        &mut self, decode: impl Fn(&[u8]) -> Decoded<M>,
+    ) -> (Vec<M>, Result<(), &'static str>) {
         let (mut messages, mut taken) = (Vec::new(), 0);
         let result = loop {
             match decode(self.input.get(taken..).unwrap_or_default()) {
@@ -115,9 +117,7 @@
             }
         };
         self.input.drain(..taken);
-        if self.input.is_empty() {
-            self.input = Vec::new();
-        }
+        self.input.shrink_to_fit();
         (messages, result)
     }
 
@@ -145,7 +145,10 @@
             }
         };
         self.output.drain(..sent);
-        if self.output.len() > MOST_UNSENT {
+        if self.output.is_empty() {
+            self.output = Vec::new();
+        }
+        if self.output.len() > self.most_unsent {
             return Err(io::Error::other("its peer does not read"));
         }
         result
@@ -162,8 +165,8 @@
     }
 }
 
-/// A codec's reader: the first message and its length, or `None` if it has not come whole.
-pub type Decode<M> = fn(&[u8]) -> Result<Option<(M, usize)>, &'static str>;
+/// What a codec reads: the first message and its length, or `None` if it has not come whole.
+pub type Decoded<M> = Result<Option<(M, usize)>, &'static str>;
 
 fn in_progress(e: &io::Error) -> bool {
     // EINPROGRESS has no stable kind of its own.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,7 +7,7 @@
 pub mod link;
 pub mod switches;
 
-use crate::call::{Command, Driver, Due, Origin};
+use crate::call::{Command, Driver, Due, Limits, Origin};
 use crate::clock::Clock;
 use crate::interface::{ExchangeId, Micros, Settings};
 use crate::settings::{self, Names};
@@ -33,6 +33,8 @@
 const REST: Duration = Duration::from_secs(3600);
 /// Connection time-out where the settings name none.
 const CONNECT: Micros = 500_000;
+/// Longest that a caller may say it waits, where the settings name no deadline.
+const LONGEST: Micros = 60_000_000;
 /// After so long idle connections are closed, where the settings say nothing.
 const KEEPALIVE: Micros = 600_000_000;
 
@@ -60,6 +62,30 @@
 #[derive(Default, Deserialize)]
 struct FileLimits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
+}
+
+/// What may be held at once, from the limits in the configuration. The program takes a few MB by itself.
+struct Budget {
+    /// Callers' connections. Usual callers hold a third of the descriptors at most; a quarter is for switches,
+    /// the control feed and the program's own.
+    callers: usize,
+    /// Bytes unsent to one caller; with each caller at its limit, an eighth of the memory.
+    caller_unsent: usize,
+    /// Bytes unsent to one switch, and of a line of the control feed.
+    peer: usize,
+    /// Calls, open or standing, at about a kilobyte each in the driver and the module.
+    calls: usize,
+    /// Bytes of the descriptions that open calls hold.
+    descriptions: usize,
+}
+
+impl Budget {
+    fn new(sockets: usize, memory: usize) -> Self {
+        let callers = (sockets - sockets / 4).max(8);
+        let caller_unsent = (memory / 8 / callers).max(2 * binary::MOST);
+        Budget { callers, caller_unsent, peer: memory / 64, calls: memory / 8192, descriptions: memory / 8 }
+    }
 }
 
 /// What a gatekeeper is told at its start, and again with each SIGHUP.
@@ -71,14 +97,14 @@
     /// Where callers connect.
     pub listen: SocketAddr,
     seed: u64,
-    sockets: usize,
+    budget: Budget,
     feed: Option<SocketAddr>,
     known: Known,
     settings: Settings,
     names: Names,
     connect_timeout: Micros,
     keepalive: Micros,
-    most_open: usize,
+    limits: Limits,
 }
 
 impl Config {
@@ -103,6 +129,10 @@
         let pairs = settings::flatten(&file.settings);
         let (mut settings, names) = settings::build(&pairs).map_err(|p| format!("settings: {p}"))?;
         settings.release += ON_SOCKETS;
+        let budget = Budget::new(
+            file.limits.sockets.unwrap_or(1024),
+            (file.limits.memory_mb.unwrap_or(192.0).clamp(8.0, 1e6) * 1e6) as usize,
+        );
         let address = |key: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|_| format!("{key}: {text:?} is no address with a port"))
         };
@@ -113,11 +143,16 @@
             // Sixteen hex digits; of any other text the bytes serve as well.
             seed: u64::from_str_radix(&file.seed, 16)
                 .unwrap_or_else(|_| file.seed.bytes().fold(7, |n, b| n.rotate_left(9) ^ u64::from(b))),
-            sockets: file.limits.sockets.unwrap_or(1024),
             feed: if file.feed.is_empty() { None } else { Some(address("feed", &file.feed)?) },
             known: file.known,
             connect_timeout: settings::span_or(&pairs, "limits.connectTimeoutS", CONNECT),
-            most_open: settings::count_or(&pairs, "limits.openCap", usize::MAX),
+            limits: Limits {
+                calls: settings::count_or(&pairs, "limits.openCap", usize::MAX).min(budget.calls),
+                descriptions: budget.descriptions,
+                longest: settings::longest_wait(&pairs, LONGEST),
+                widths: settings::widths(&pairs),
+            },
+            budget,
             keepalive: settings::span_or(&pairs, "limits.keepaliveS", KEEPALIVE),
             settings,
             names,
@@ -184,16 +219,15 @@
     let mut clock = Clock::start();
     let now = clock.now();
     let here = config.settings.here;
-    // Callers hold at most a third of the descriptors; the rest is for what they cause, and to spare.
-    let most = (config.sockets / 2).max(16);
-    let callers = Callers::listen(handle.clone(), config.listen, most)
+    let budget = config.budget;
+    let callers = Callers::listen(handle.clone(), config.listen, budget.callers, budget.caller_unsent)
         .map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let mut node = Node {
         clock,
-        driver: Driver::new(config.settings, config.names, config.most_open, config.seed, now),
+        driver: Driver::new(config.settings, config.names, config.limits, config.seed, now),
         callers,
-        switches: Switches::new(handle.clone(), config.connect_timeout, config.keepalive, here),
-        feed: Feed::new(handle.clone(), config.feed),
+        switches: Switches::new(handle.clone(), config.connect_timeout, config.keepalive, here, budget.peer),
+        feed: Feed::new(handle.clone(), config.feed, budget.peer),
         unread: vec![],
         armed: None,
         ready: false,
@@ -201,6 +235,7 @@
         path: config.path,
     };
     node.start_feed(config.known);
+    node.look_after_callers();
 
     while !node.turn() {
         let next = node.driver.next_due();
@@ -228,6 +263,7 @@
             match due {
                 Due::Link(switch) => self.link_due(switch),
                 Due::Feed => self.feed_due(),
+                Due::Callers => self.look_after_callers(),
                 Due::Stop => {
                     if self.stopping.is_some_and(|since| now >= since + LAST_ANSWER) {
                         self.driver.fail_all(now);
@@ -267,6 +303,7 @@
     }
 
     fn carry_out(&mut self) {
+        let now = self.clock.now();
         // Carrying a command out may bring about more, as when a switch can't be reached.
         while !self.driver.commands.is_empty() {
             for command in std::mem::take(&mut self.driver.commands) {
@@ -279,12 +316,14 @@
                     Command::GiveUpAnywhere(tag) => self.switches.give_up_anywhere(tag),
                     Command::Probe { switch, tag } => self.switches.probe(switch, tag),
                     Command::Answer { origin, tag, description } => {
-                        self.callers.answer(origin, tag, description);
+                        self.callers.answer(now, origin, tag, description);
                     }
                     Command::Reject { origin, tag, cause, back_off } => {
                         self.callers.reject(origin, tag, cause, back_off);
                     }
-                    Command::Release { origin, tag, cause } => self.callers.release(origin, tag, cause),
+                    Command::Release { origin, tag, cause } => {
+                        self.callers.release(now, origin, tag, cause);
+                    }
                     Command::Log(line) => log(&line),
                 }
             }
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -84,6 +84,8 @@
     keepalive: Micros,
     /// The own exchange: nothing is sent there.
     here: Number,
+    /// Most bytes that wait for one switch.
+    most_unsent: usize,
     switches: BTreeMap<ExchangeId, Switch>,
     /// Names on the wire and the module's ids: mapped here alone.
     names: HashMap<String, ExchangeId>,
@@ -93,9 +95,10 @@
     /// No switch is known yet.
     pub fn new(
         handle: LoopHandle<'static, Node>, connect_timeout: Micros, keepalive: Micros, here: Number,
+        most_unsent: usize,
     ) -> Self {
         let (switches, names) = (BTreeMap::new(), HashMap::new());
-        Switches { handle, connect_timeout, keepalive, here, switches, names }
+        Switches { handle, connect_timeout, keepalive, here, most_unsent, switches, names }
     }
 
     /// The module's id of a switch.
@@ -286,7 +289,9 @@
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
         let State::Closed { .. } = switch.state else { return };
         let Some(address) = switch.host.address.filter(|_| switch.wanted()) else { return };
-        match Link::connect(&self.switches.handle, address, move |node| node.switch_ready(id)) {
+        match Link::connect(&self.switches.handle, address, self.switches.most_unsent, move |node| {
+            node.switch_ready(id)
+        }) {
             Ok(link) => {
                 switch.state = State::Connecting { link, until };
                 self.driver.timers.push(until, Due::Link(id));
@@ -344,7 +349,9 @@
         }
         let Some(address) = switch.host.address else { return };
         let until = now + self.switches.connect_timeout;
-        match Link::connect(&self.switches.handle, address, move |node| node.trial_ready(id)) {
+        match Link::connect(&self.switches.handle, address, self.switches.most_unsent, move |node| {
+            node.trial_ready(id)
+        }) {
             Ok(link) => switch.trial = Some(Trial { link, until, up: false }),
             Err(e) => log(&format!("switch {} refuses a new connection: {e}", switch.host.name)),
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -222,6 +222,18 @@
     Ok((settings, names))
 }
 
+/// The longest time that a caller may say it waits: with some room, the longest deadline that the settings name.
+pub fn longest_wait(pairs: &Pairs, usual: Micros) -> Micros {
+    let deadlines = pairs.keys().filter(|k| k.starts_with("services.") && k.ends_with(".deadlineS"));
+    deadlines.map(|key| span_or(pairs, key, usual)).max().map_or(usual, |longest| longest / 2 * 3)
+}
+
+/// The circuits that a call of each class takes; none where the settings don't say.
+pub fn widths(pairs: &Pairs) -> Vec<f64> {
+    let list = pairs.get("familyInfo.circuitsByClass").map_or("", String::as_str);
+    list.split(',').map_while(|w| w.parse().ok()).collect()
+}
+
 /// A span of the network side, which the module's settings don't hold.
 pub fn span_or(pairs: &Pairs, key: &str, usual: Micros) -> Micros {
     amount_or(pairs, key).map_or(usual, micros)
@@ -265,6 +277,20 @@
         assert_eq!((count_or(&pairs, "b", 9), count_or(&pairs, "a", 9)), (9, 0));
     }
 
+    #[test]
+    fn bounds_of_a_set_up_come_from_the_settings_where_they_are_named() {
+        let mut pairs = Pairs::new();
+        assert_eq!((longest_wait(&pairs, 7), widths(&pairs)), (7, vec![]));
+        for (key, value) in [
+            ("services.0.deadlineS", "2"),
+            ("services.1.deadlineS", "3"),
+            ("familyInfo.circuitsByClass", "1,2"),
+        ] {
+            pairs.insert(key.into(), value.into());
+        }
+        assert_eq!((longest_wait(&pairs, 7), widths(&pairs)), (4_500_000, vec![1.0, 2.0]));
+    }
+
     #[test]
     fn reports_are_read_by_either_set_of_names() {
         let (mut a, mut b) = (Report::default(), Report::default());
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -6,6 +6,7 @@
 //!     PARTY opens | accepts | closes | resets | refuses     its connection, or with `refuses` its address
 //!     PARTY > BYTES     it sends          PARTY < BYTES     it gets these     PARTY < end   it is closed
 //!     signal TERM       exits 0           log TEXT          the program's log has a line with this text
+//!     with A => B       first line of a file: the configuration has B in place of A
 //!     config @moved     its file now names this address for the feed; any other text is written as it is
 //!
 //! A caller's bytes are hex digits and "text" (also "text"*N); #( ) puts a length of two bytes before what it
@@ -18,10 +19,10 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Only a program that hangs takes so long; nothing passes or fails by being slower or faster.
-const HANG: Option<Duration> = Some(Duration::from_secs(60));
+const HANG: Option<Duration> = Some(Duration::from_secs(20));
 
 fn read(name: &str) -> String {
     std::fs::read_to_string(format!("{}/tests/exchanges/{name}", env!("CARGO_MANIFEST_DIR"))).unwrap()
@@ -88,14 +89,19 @@
 }
 
 impl Play {
-    fn start() -> Self {
+    fn start(change: Option<(&str, &str)>) -> Self {
         let listeners: BTreeMap<_, _> =
             ["s1", "s2", "feed", "moved"].map(|n| (n, TcpListener::bind("127.0.0.1:0").unwrap())).into();
         let addresses: BTreeMap<_, _> =
             listeners.iter().map(|(n, l)| (*n, l.local_addr().unwrap().to_string())).collect();
         listeners.values().for_each(|l| SockRef::from(l).set_read_timeout(HANG).unwrap());
         let path = std::env::temp_dir().join(format!("wheatpier-{}", addresses["feed"].replace(':', "-")));
-        std::fs::write(&path, named(&read("config.json"), &addresses)).unwrap();
+        let config = read("config.json");
+        let config = change.map_or(config.clone(), |(old, new)| {
+            assert!(config.contains(old), "{old} is not in the configuration");
+            config.replace(old, new)
+        });
+        std::fs::write(&path, named(&config, &addresses)).unwrap();
         let mut program = Command::new(env!("CARGO_BIN_EXE_wheatpier"))
             .args(["serve", "--config", path.to_str().unwrap()])
             .stderr(Stdio::piped())
@@ -110,9 +116,10 @@
     }
 
     fn wait_for(&mut self, text: &str) -> String {
+        let end = Instant::now() + HANG.unwrap();
         loop {
-            let line =
-                self.log.recv_timeout(HANG.unwrap()).unwrap_or_else(|_| panic!("no log line {text:?}"));
+            let left = end.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no log line {text:?}"));
             if line.contains(text) {
                 return line;
             }
@@ -190,10 +197,12 @@
 
 /// Plays the common start and then an exchange; at its end the program must still run, or have ended as told.
 fn play(name: &str) {
-    let (mut play, mut over) = (Play::start(), false);
+    let text = read(name);
+    let change = text.strip_prefix("with ").and_then(|t| t.lines().next()?.split_once(" => "));
+    let (mut play, mut over) = (Play::start(change), false);
     for file in ["start.txt", name] {
         for (n, line) in read(file).lines().map(str::trim).enumerate() {
-            if !line.is_empty() && !line.starts_with("//") {
+            if !line.is_empty() && !line.starts_with("//") && !line.starts_with("with ") {
                 println!("{file}:{}: {}", n + 1, line.get(..120).unwrap_or(line));
                 play.perform(line);
                 over |= line.starts_with("exits");
@@ -225,10 +234,12 @@
 exchanges! {
     a_call_from_set_up_to_release
     address_taken_over
+    bad_callers
     caller_gives_up
     caller_half_closes
     duplicate_and_unknown_ids
     feed
+    flood
     group_full_takes_the_tandem
     idle_close
     long_and_split_messages
