Count a broken link as one silence, however many calls were out on it

A spoilt answer ends its link, all set-ups out on it are reset in one batch, and Controller::unanswered counted each: two made a sound processor doubted, and its calls were refused but for single trials. Time-outs still count one by one (what_spans_the_own_stall_proves_nothing holds that).

Groups between others are forgotten when what was seen of them no longer counts: callers name their ends.

Test: a_link_that_breaks_under_many_calls_is_one_silence.

--- a/src/control.rs
+++ b/src/control.rs
@@ -268,6 +268,7 @@
     /// Attempts out, oldest first.
     out: Vec<(Micros, CallId)>,
     unanswered: u32,
+    silent_at: Micros,
     doubted: bool,
     trial_gap: Micros,
     next_trial: Micros,
@@ -276,8 +277,8 @@
 impl Far {
     fn new(listed: Listed, free: Option<f64>, size: f64) -> Self {
         let (loops, trial_gap) = (Loops::default(), TRIAL_GAP.0);
-        let (ending, out, unanswered, doubted, next_trial) = (None, vec![], 0, false, 0);
-        Far { listed, ending, free, size, loops, out, unanswered, doubted, trial_gap, next_trial }
+        let (ending, out, unanswered, silent_at, doubted, next_trial) = (None, vec![], 0, 0, false, 0);
+        Far { listed, ending, free, size, loops, out, unanswered, silent_at, doubted, trial_gap, next_trial }
     }
 
     fn in_service(&self) -> bool {
@@ -442,22 +443,21 @@
         let Some(far) = self.fars.get_mut(&id) else { return };
         far.unanswered = 0;
         if far.doubted {
-            far.doubted = false;
-            far.trial_gap = TRIAL_GAP.0;
+            (far.doubted, far.trial_gap) = (false, TRIAL_GAP.0);
             out.push(Action::Log(format!("trusted {}", id.0)));
         }
     }
 
-    fn unanswered(&mut self, now: Micros, id: ExchangeId, out: &mut Vec<Action>) {
+    fn unanswered(&mut self, now: Micros, id: ExchangeId, timed_out: bool, out: &mut Vec<Action>) {
         let gap = self.jitter(self.fars.get(&id).map_or(0, |f| f.trial_gap));
-        let Some(far) = self.fars.get_mut(&id) else { return };
-        far.unanswered += 1;
+        // Danger: a broken link ends all that is out on it at once. That is one silence, however many calls.
+        let Some(far) = self.fars.get_mut(&id).filter(|f| timed_out || f.silent_at != now) else { return };
+        (far.unanswered, far.silent_at) = (far.unanswered + 1, now);
         if far.doubted {
             far.trial_gap = (far.trial_gap * 2).min(TRIAL_GAP.1);
             far.next_trial = now + gap;
         } else if far.unanswered >= DOUBT_AFTER {
-            far.doubted = true;
-            far.next_trial = now + gap;
+            (far.doubted, far.next_trial) = (true, now + gap);
             out.push(Action::Log(format!("doubted {}", id.0)));
         }
     }
@@ -516,6 +516,7 @@
         if now % SECOND < PERIOD {
             self.busy.retain(|_, b| b.0 + BUSY_NUMBER.1 > now);
             self.refused.retain(|_, first| *first + REDIAL > now);
+            self.beyond.retain(|_, b| b.1 + BEYOND.1 > now);
             let lost = |f: &Far| f.ending.is_some_and(|t| t + QUIET_SPAN < now) && f.out.is_empty();
             self.fars.retain(|_, f| !lost(f));
         }
@@ -747,9 +748,8 @@
             return false;
         }
         let far = &self.fars[&to];
-        let number = far.listed.number;
-        let cold = far.is_cold(now, &self.set);
-        let budget = self.cold_budget(now, far);
+        let (number, cold, budget) =
+            (far.listed.number, far.is_cold(now, &self.set), self.cold_budget(now, far));
         let gap = self.jitter(far.trial_gap);
         let place = self.places.entry(number).or_default();
         if cold {
@@ -833,7 +833,7 @@
                 if outcome != Outcome::Reset {
                     self.sample(now, exchange, ENDLESS);
                 }
-                self.unanswered(now, exchange, out);
+                self.unanswered(now, exchange, outcome == Outcome::TimedOut, out);
                 again = tandem || outcome == Outcome::Reset || self.quick(exchange, left);
             }
             (Outcome::NotSent, Cause::ProcessorFull(_)) => {}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -131,6 +131,22 @@
     assert!(rig.logs.iter().any(|l| l == "trusted 101"));
 }
 
+#[test]
+fn a_link_that_breaks_under_many_calls_is_one_silence() {
+    // Danger: one spoilt answer costs the link, and all that was out on it makes a sound processor doubted.
+    let mut rig = Rig::new(|_| {});
+    let reset = |rig: &mut Rig, ids: std::ops::Range<u64>| {
+        ids.clone().for_each(|id| drop(rig.call(id, 1)));
+        ids.for_each(|id| rig.ended(id, 0, 101, Outcome::Reset, Cause::None, false));
+    };
+    reset(&mut rig, 1..5);
+    assert!(rig.logs.is_empty(), "{:?}", rig.logs);
+    // A link that breaks again, with nothing heard between, is a processor that is down.
+    rig.run(ms(50));
+    reset(&mut rig, 5..7);
+    assert!(rig.logs.iter().any(|l| l == "doubted 101"));
+}
+
 #[test]
 fn delay_at_every_far_end_at_once_throttles_as_home_not_by_doubt() {
     // Danger: waiting at the own processor reads as every far end being slow (incident ic05b91).
