Try a set-up again where one after another fails at once

Now an error is tried again if the set-up before it failed there as well and answers are quick compared with what is left of the aim.

Test: where_one_set_up_after_another_fails_the_next_is_tried_again.

--- a/src/control.rs
+++ b/src/control.rs
@@ -157,6 +157,8 @@
 struct Loops {
     /// Set-up delays: when answered, how long.
     samples: VecDeque<(Micros, Micros)>,
+    /// The last set-up failed there.
+    failed: bool,
     /// Candidates for d0, rising.
     medians: VecDeque<(Micros, Micros)>,
     /// For how long a sample speaks, and how many are enough: by the traffic there is.
@@ -435,6 +437,7 @@
         let excess = self.home.excess();
         if let Some(far) = self.fars.get_mut(&id) {
             let quiet = far.loops.quiet().unwrap_or(0).min(delay);
+            far.loops.failed &= delay == ENDLESS;
             far.loops.sample(now, (delay - excess).max(quiet));
         }
     }
@@ -499,8 +502,7 @@
             far.loops.step(now, raw);
             far.loops.drained(&mut due);
         }
-        let raw = self.home.measure(now, &overdue, HOME_QUANTILE, most);
-        let pressed = self.home.ratio > 0.0;
+        let (raw, pressed) = (self.home.measure(now, &overdue, HOME_QUANTILE, most), self.home.ratio > 0.0);
         self.home.step(now, raw);
         self.home.drained(&mut due);
         if (self.home.ratio > 0.0) != pressed {
@@ -668,10 +670,7 @@
         if !(again || call.attempts == 0) || self.home.ratio > 0.0 || open.iter().any(|o| o.0) {
             open.retain(|o| o.0);
         }
-        if open.is_empty() {
-            return None;
-        }
-        let worth = self.worth(now, call);
+        let worth = open.first().map(|_| self.worth(now, call))?;
         let pick = open[(self.draw() * open.len() as f64) as usize].1;
         (!self.refuses(now, self.fars[&pick].loops.ratio, worth)).then_some((pick, true, half))
     }
@@ -770,11 +769,8 @@
     }
 
     fn on_standing(&mut self, now: Micros, id: CallId, attempt: u32, took: Micros, out: &mut Vec<Action>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get_mut(&id).filter(|c| attempt + 1 == c.attempts) else { return };
         let State::Out { exchange, sent, tandem } = call.state else { return };
-        if attempt + 1 != call.attempts {
-            return;
-        }
         call.state = State::Standing;
         let to = call.new.destination;
         if tandem {
@@ -836,8 +832,7 @@
                 self.unanswered(now, exchange, outcome == Outcome::TimedOut, out);
                 again = tandem || outcome == Outcome::Reset || self.quick(exchange, left);
             }
-            (Outcome::NotSent, Cause::ProcessorFull(_)) => {}
-            (Outcome::NotSent, _) => {
+            (Outcome::NotSent, cause) if !matches!(cause, Cause::ProcessorFull(_)) => {
                 self.fars.entry(exchange).and_modify(|far| far.free = Some(0.0));
                 again = true;
             }
@@ -856,6 +851,11 @@
                 self.busy.insert(called, (now + last, last));
                 away = true;
             }
+            // Danger: a processor that fails most set-ups at once. While answers are quick, one more is cheap.
+            (Outcome::Error, _) => {
+                again = self.quick(exchange, left) && self.fars[&exchange].loops.failed;
+                self.fars.entry(exchange).and_modify(|f| f.loops.failed = true);
+            }
             _ => {}
         }
         if closed {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -336,6 +336,31 @@
     assert!(again.at >= at + ms(750 + 200) && again.at < at + ms(1500));
 }
 
+#[test]
+fn where_one_set_up_after_another_fails_the_next_is_tried_again() {
+    // Danger: a processor that fails most set-ups at once loses all of its callers to redials.
+    let mut rig = Rig::new(|_| {});
+    let sends = |rig: &Rig, id: u64| rig.sends.iter().filter(|s| s.call == id).count();
+    let fails = |rig: &mut Rig, id, attempt| rig.ended(id, attempt, 101, Outcome::Error, Cause::None, false);
+    rig.steady(100..130, ms(60), ms(100));
+    // A single one may be the call's own fault.
+    rig.call(1, 1);
+    fails(&mut rig, 1, 0);
+    assert_eq!((sends(&rig, 1), rig.answers_of(1)), (1, 1));
+    // The settings bound the attempts.
+    rig.call(2, 1);
+    (0..3).for_each(|attempt| fails(&mut rig, 2, attempt));
+    assert_eq!((sends(&rig, 2), rig.answers_of(2)), (4, 0));
+    fails(&mut rig, 2, 3);
+    assert_eq!((sends(&rig, 2), rig.answers_of(2)), (4, 1));
+    // One that stands ends the row.
+    rig.call(3, 1);
+    rig.stands(3, 0, ms(60));
+    rig.call(4, 1);
+    fails(&mut rig, 4, 0);
+    assert_eq!((sends(&rig, 4), rig.answers_of(4)), (1, 1));
+}
+
 #[test]
 fn a_number_refused_is_known_again_and_its_aim_runs_from_the_first_try() {
     // Danger: callers who do not say that they dial again pass for fresh calls of full worth.
