--- a/src/control.rs
+++ b/src/control.rs
@@ -851,7 +851,7 @@
                 self.busy.insert(called, (now + last, last));
                 away = true;
             }
-            // Danger: a processor that fails most set-ups at once. While answers are quick, one more is cheap.
+            // Danger: a processor that fails most set-ups. While answers are quick, one more try is cheap.
             (Outcome::Error, _) => {
                 again = self.quick(exchange, left) && self.fars[&exchange].loops.failed;
                 self.fars.entry(exchange).and_modify(|f| f.loops.failed = true);
