Forget switches that are gone, and bound what is owed and remembered

Now Node::forget_switch is the one place where a switch ends; ids of the module are counted on; debts, tags and strange withdrawals are bounded.

Tried and dropped: correcting a fresh agent's estimate of its traffic for a cold processor's part, as the likely cause of the refusals after a planned restart.

Test: tests/exchanges/switches_come_and_go.txt, which waits in vain for the new number without the change.

--- a/src/call.rs
+++ b/src/call.rs
@@ -40,8 +40,8 @@
 /// For how long the tag of a call that is over is remembered: what still comes for it is its echo. A release
 /// is repeated on the next connection that a switch opens, which may take a while.
 const REMEMBERED: Micros = 600_000_000;
-/// Most tags remembered.
-const MOST_REMEMBERED: usize = 100_000;
+/// Most tags remembered, for each call that the table may hold.
+const MOST_REMEMBERED: usize = 8;
 /// For how long a caller should stay away when there is no place for its call.
 const OVERFULL_BACK_OFF: Micros = 1_000_000;
 /// A probe without an answer has failed after this.
@@ -345,17 +345,18 @@
         self.commands.push(Command::Reject { origin, tag, cause: cause::CONGESTION, back_off });
     }
 
-    /// A caller has given its set-up up, or released its call.
-    pub fn released(&mut self, now: Micros, tag: Tag) {
+    /// A caller has given its set-up up, or released its call; false if that is neither open nor stands.
+    pub fn released(&mut self, now: Micros, tag: Tag) -> bool {
         let Some(id) = self.tags.get(&tag).copied() else {
             // Not one of ours, and not an echo: a call of before the last restart may stand at any switch.
             if !self.over.contains_key(&tag) {
                 self.commands.push(Command::GiveUpAnywhere(tag));
                 self.remember(now, tag);
             }
-            return;
+            return false;
         };
         self.abandon(now, id);
+        true
     }
 
     /// A caller's connection has ended: the set-ups open on it are given up. Calls that stand belong to none.
@@ -579,7 +580,9 @@
             self.module.handle(now, event, &mut self.actions);
         }
         self.act(now);
-        while self.over_order.front().is_some_and(|o| o.0 <= now) || self.over.len() > MOST_REMEMBERED {
+        while self.over_order.front().is_some_and(|o| o.0 <= now)
+            || self.over.len() > MOST_REMEMBERED * self.limits.calls
+        {
             let Some((_, tag)) = self.over_order.pop_front() else { break };
             self.over.remove(&tag);
         }
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -27,6 +27,8 @@
 const RELEASE_WAIT: Micros = 500_000;
 /// A connection that has sent so many messages that make no sense is closed.
 const STRIKES: u32 = 16;
+/// So is one that has withdrawn so many calls that are not known here. After a restart all that stood before are.
+const STRANGE: u32 = 1024;
 /// Set-ups that may be open on a connection on which no call has stood yet. More come only from one that sends
 /// without looking at what it is answered.
 const UNPROVEN: usize = 128;
@@ -52,6 +54,7 @@
     /// Since when part of a message has waited for the rest.
     part: Option<Micros>,
     strikes: u32,
+    strange: u32,
 }
 
 /// All connections from callers.
@@ -100,8 +103,9 @@
         let origin = Origin(self.last);
         match Link::new(&self.handle, stream, self.most.1, move |node| node.caller_ready(origin)) {
             Ok(link) => {
-                let (ended, trust, used, part, strikes) = (false, Trust::None, now, None, 0);
-                self.callers.insert(origin, Caller { link, ended, trust, used, part, strikes });
+                let (ended, trust, part, strikes, strange) = (false, Trust::None, None, 0, 0);
+                let caller = Caller { link, ended, trust, used: now, part, strikes, strange };
+                self.callers.insert(origin, caller);
             }
             Err(e) => log(&format!("a caller's connection failed: {e}")),
         }
@@ -343,12 +347,23 @@
         match message.kind {
             kind::SET_UP => return self.heard_set_up(now, origin, &message, trust),
             kind::RELEASE if tag != 0 => {
-                self.driver.released(now, tag);
+                let known = self.driver.released(now, tag);
                 self.callers.write(origin, &Message::new(kind::RELEASED, tag));
                 self.callers.trust(now, origin, trust);
+                if !known && let Some(caller) = self.callers.callers.get_mut(&origin) {
+                    // Guards the switches: each is told of a call that may stand with any of them.
+                    caller.strange += 1;
+                    if caller.strange > STRANGE {
+                        self.close_useless(origin, "it withdrew calls that are not known");
+                        return false;
+                    }
+                }
             }
             kind::TEST => {
-                self.callers.tests.push((origin, tag));
+                // Those that wait for the gatekeeper to be ready are bounded as the connections are.
+                if self.callers.tests.len() < self.callers.most.0 {
+                    self.callers.tests.push((origin, tag));
+                }
                 self.callers.trust(now, origin, Trust::Sound);
             }
             kind::RELEASED | kind::PROGRESS => {}
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -156,7 +156,7 @@
     fn take_known(&mut self, known: Known) {
         for event in known.events {
             let whole = event.members.as_ref().is_some_and(|m| m.whole);
-            let next = event.n == self.feed.last + 1;
+            let next = event.n == self.feed.last.saturating_add(1);
             if event.n > self.feed.last && (next || whole) {
                 self.feed.last = event.n;
                 self.apply(event);
@@ -277,22 +277,15 @@
                 }
             };
             let host = entry.host(&self.clock);
-            listed.push(Listed {
-                exchange: self.switches.id(&host.name),
-                zone: self.driver.zone(&entry.site),
-                number: host.number,
-                health: host.health,
-                up_since: host.up_since,
-            });
+            let (zone, number) = (self.driver.zone(&entry.site), host.number);
+            let (health, up_since) = (host.health, host.up_since);
+            let exchange = self.switches.id(&host.name, health);
+            listed.extend(exchange.map(|exchange| Listed { exchange, zone, number, health, up_since }));
             names.push(host.name.clone());
             self.host(host);
         }
         if members.whole {
-            for gone in self.present_hosts() {
-                if !names.contains(&gone.name) {
-                    self.host(Host { health: Health::Gone, ..gone });
-                }
-            }
+            self.keep_hosts(&names);
         }
         self.driver.list(if members.whole { List::Full(listed) } else { List::Change(listed) });
     }
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -72,7 +72,7 @@
 
 impl Switch {
     fn wanted(&self) -> bool {
-        self.host.health != Health::Gone && self.host.address.is_some()
+        self.host.address.is_some()
     }
 }
 
@@ -86,9 +86,11 @@
     here: Number,
     /// Most bytes that wait for one switch.
     most_unsent: usize,
+    /// Those that are listed and not gone.
     switches: BTreeMap<ExchangeId, Switch>,
-    /// Names on the wire and the module's ids: mapped here alone.
+    /// Their names on the wire and the module's ids: mapped here alone.
     names: HashMap<String, ExchangeId>,
+    last: u64,
 }
 
 impl Switches {
@@ -98,13 +100,18 @@
         most_unsent: usize,
     ) -> Self {
         let (switches, names) = (BTreeMap::new(), HashMap::new());
-        Switches { handle, connect_timeout, keepalive, here, most_unsent, switches, names }
+        Switches { handle, connect_timeout, keepalive, here, most_unsent, switches, names, last: 0 }
     }
 
-    /// The module's id of a switch.
-    pub fn id(&mut self, name: &str) -> ExchangeId {
-        let next = ExchangeId(self.names.len() as u64 + 1);
-        *self.names.entry(name.to_string()).or_insert(next)
+    /// The module's id of a switch that the list names; none for one that is gone and was not known.
+    pub fn id(&mut self, name: &str, health: Health) -> Option<ExchangeId> {
+        let known = self.names.get(name).copied();
+        if known.is_some() || health == Health::Gone {
+            return known;
+        }
+        self.last += 1;
+        self.names.insert(name.to_string(), ExchangeId(self.last));
+        Some(ExchangeId(self.last))
     }
 
     /// Whether every switch in service has reported its group or could not be reached.
@@ -112,11 +119,6 @@
         self.switches.values().all(|s| s.heard || !s.wanted() || s.host.health != Health::InService)
     }
 
-    /// Switches that are not gone.
-    pub fn present(&self) -> Vec<ExchangeId> {
-        self.switches.iter().filter(|(_, s)| s.host.health != Health::Gone).map(|(id, _)| *id).collect()
-    }
-
     /// Whether all that was said is written.
     pub fn is_flushed(&self) -> bool {
         self.switches.values().all(|s| match &s.state {
@@ -141,8 +143,11 @@
             // What never left need not be given up.
             let left = switch.waiting.len() == waited;
             if left && !self.write(id, &finish(tag)) {
-                // Guards against a call that stays standing because its switch could not be told.
-                self.switches.entry(id).and_modify(|s| s.debts.push(tag));
+                // Guards against a call that stays standing because its switch could not be told. They are as
+                // many as the bytes that may wait for it allow.
+                let most = self.most_unsent / finish(tag).tag.len();
+                let owing = self.switches.get_mut(&id).filter(|s| s.debts.len() < most);
+                owing.into_iter().for_each(|s| s.debts.push(tag));
             }
         }
     }
@@ -153,11 +158,6 @@
         ids.into_iter().for_each(|id| self.give_up(id, tag));
     }
 
-    /// A switch that is gone is owed nothing.
-    fn forget_debts(&mut self, id: ExchangeId) {
-        self.switches.entry(id).and_modify(|s| s.debts.clear());
-    }
-
     /// Probes a switch.
     pub fn probe(&mut self, id: ExchangeId, tag: Tag) {
         self.write(id, &Message { rc: Some(0), ..Message::new("ECHO", tag) });
@@ -182,17 +182,17 @@
     /// The control feed tells of a switch.
     pub(super) fn host(&mut self, host: Host) {
         let now = self.clock.now();
-        let id = self.switches.id(&host.name);
+        let Some(id) = self.switches.id(&host.name, host.health) else { return };
+        if host.health == Health::Gone {
+            return self.forget_switch(now, id, &host.name);
+        }
         if host.number == self.switches.here {
             return;
         }
         let before = self.switches.switches.get(&id).map(|s| s.host.clone());
-        if before.is_none() && host.health == Health::Gone {
-            return;
-        }
         // Guards against an address that a new switch has taken over: what was meant for the old one must not
         // reach it, even while the list still names both.
-        if host.health != Health::Gone && before.as_ref().is_none_or(|b| b.address != host.address) {
+        if before.as_ref().is_none_or(|b| b.address != host.address) {
             let same = |(_, s): &(&ExchangeId, &Switch)| s.wanted() && s.host.address == host.address;
             let others = self.switches.switches.iter().filter(|(other, _)| **other != id);
             let taken: Vec<ExchangeId> = others.filter(same).map(|(other, _)| *other).collect();
@@ -226,11 +226,6 @@
         if before.health != host.health {
             log(&format!("switch {} is {:?}", host.name, host.health));
         }
-        if host.health == Health::Gone {
-            self.drop_link(id);
-            self.driver.switch_died(now, id, now);
-            return self.switches.forget_debts(id);
-        }
         let restarted = host.up_since.filter(|up| before.up_since != Some(*up));
         if let Some(up) = restarted {
             // A process that has started anew knows nothing of older calls, whatever its machine told us.
@@ -244,15 +239,29 @@
         if stale || before.address != host.address {
             self.drop_link(id);
         }
-        if before.health == Health::Gone || stale || before.address != host.address {
+        if stale || before.address != host.address {
             self.connect(id);
         }
     }
 
-    /// Names of the switches that are not gone, for a list that is whole.
-    pub(super) fn present_hosts(&self) -> Vec<Host> {
-        let present = self.switches.switches.values().filter(|s| s.host.health != Health::Gone);
-        present.map(|s| s.host.clone()).collect()
+    /// A switch is gone for good: what stood there is over, nothing is owed to it, and its entry and its id go.
+    /// Switches come and go without end.
+    fn forget_switch(&mut self, now: Micros, id: ExchangeId, name: &str) {
+        if self.switches.switches.contains_key(&id) {
+            log(&format!("switch {name} is Gone"));
+        }
+        self.drop_link(id);
+        self.driver.switch_died(now, id, now);
+        self.switches.switches.remove(&id);
+        self.switches.names.remove(name);
+    }
+
+    /// A list that is whole names these switches: all others are gone.
+    pub(super) fn keep_hosts(&mut self, names: &[String]) {
+        let now = self.clock.now();
+        let gone = self.switches.names.iter().filter(|(name, _)| !names.contains(name));
+        let gone: Vec<(String, ExchangeId)> = gone.map(|(name, id)| (name.clone(), *id)).collect();
+        gone.into_iter().for_each(|(name, id)| self.forget_switch(now, id, &name));
     }
 
     /// Sends a set-up: at once, or when the connection is up.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -251,6 +251,7 @@
     reset_waits_for_the_release
     silent_switch
     sigterm
+    switches_come_and_go
     time_out
 }
 
