Replace a connection on which set-ups stay unanswered, and keep its switch trusted

A probe that logged the module's view shows no set-up leaked and load reports of no pressure; from one moment on nothing came on a connection, trials went out on it every 2 s and stayed unanswered, while the second connection that Node::watch had opened after 1.5 s was up and brought the group's state. At fault: watch took 'a new connection comes up' for 'all is well' and left set-ups on the old one. Ruled out: a dead switch (it spoke), a leak in the tables.

Now a connection is tried anew 0.15 s after a set-up that nothing followed, takes over as soon as the switch speaks on it, and the old one is listened to for late answers. An idle connection that is replaced no longer resets the set-up that caused it.

Tests: tests/exchanges/stuck_connection.txt; set_ups_lost_on_a_connection_that_failed_do_not_make_their_processor_doubted.

--- a/src/call.rs
+++ b/src/call.rs
@@ -287,6 +287,15 @@
         })
     }
 
+    /// When the oldest set-up that is out at a switch was sent.
+    pub fn oldest_out(&self, switch: ExchangeId) -> Option<Micros> {
+        let out = |c: &Call| match &c.stage {
+            Stage::Open(Some(a)) if a.switch == switch => Some(a.sent),
+            _ => None,
+        };
+        self.calls.values().filter_map(out).min()
+    }
+
     // What callers send.
 
     /// A set-up has come. One for which there is no place is refused here and never reaches the module.
@@ -479,6 +488,13 @@
         }
     }
 
+    /// A switch that seemed silent has spoken on a new connection, so long after that was begun: as good as a
+    /// probe that it has answered.
+    pub fn alive(&mut self, switch: ExchangeId, took: Micros) {
+        let (answered, took, report) = (true, took.max(1), Report::default());
+        self.events.push(Event::Probed { exchange: switch, answered, took, report });
+    }
+
     /// A probe has been answered.
     pub fn probed(&mut self, now: Micros, tag: Tag, passed: bool, report: Report) {
         if let Some((exchange, sent)) = self.probes.remove(&tag) {
@@ -494,9 +510,10 @@
         }
     }
 
-    /// The connection to a switch is gone: the set-ups open on it are.
-    pub fn link_lost(&mut self, switch: ExchangeId) {
-        self.end_attempts(switch, Outcome::Reset, |_| true);
+    /// A connection to a switch is gone, and with it the set-ups that were sent there up to then.
+    pub fn link_lost(&mut self, switch: ExchangeId, up_to: Micros) {
+        let before = |c: &Call| matches!(&c.stage, Stage::Open(Some(a)) if a.sent <= up_to);
+        self.end_attempts(switch, Outcome::Reset, before);
     }
 
     fn end_attempts(&mut self, switch: ExchangeId, outcome: Outcome, which: impl Fn(&Call) -> bool) {
@@ -789,7 +806,7 @@
     fn after_a_reset_the_call_waits_for_the_release_and_goes_out_once() {
         let mut rig = Rig::new();
         rig.call(1, 3000 * MS);
-        rig.driver.link_lost(FAR);
+        rig.driver.link_lost(FAR, rig.now);
         let reset_at = rig.now;
         let said = rig.until_said();
         assert!(matches!(said[..], [Command::SetUp { tag: 1, .. }]), "{said:?}");
--- a/src/control.rs
+++ b/src/control.rs
@@ -112,8 +112,7 @@
         self.value * fade(now - self.at, tau)
     }
     fn add(&mut self, now: Micros, tau: f64, n: f64) {
-        self.value = self.read(now, tau) + n / tau;
-        self.at = now;
+        (self.value, self.at) = (self.read(now, tau) + n / tau, now);
     }
 }
 
@@ -159,6 +158,8 @@
     samples: VecDeque<(Micros, Micros)>,
     /// The last set-up failed there.
     failed: bool,
+    /// When a probe last found it alive: set-ups of before that it left unanswered were lost on their way.
+    renewed: Micros,
     /// Candidates for d0, rising.
     medians: VecDeque<(Micros, Micros)>,
     /// For how long a sample speaks, and how many are enough: by the traffic there is.
@@ -361,6 +362,7 @@
             Event::Probed { exchange, answered, took, report } => {
                 self.on_report(now, exchange, &report);
                 if answered && took > 0 {
+                    self.fars.entry(exchange).and_modify(|f| f.loops.renewed = now);
                     self.answered(exchange, out);
                 }
             }
@@ -427,8 +429,7 @@
         far.size = report.size.filter(sound).unwrap_or(far.size);
         // One pressure scale: a wait w reads as d = d0 + w.
         let quiet = far.loops.quiet().unwrap_or(most).min(most) as f64;
-        let wait = report.wait.filter(sound).map(|w| w / (quiet + w));
-        let told = wait.or(report.hold_back.filter(sound));
+        let told = report.wait.filter(sound).map(|w| w / (quiet + w)).or(report.hold_back.filter(sound));
         far.loops.report = told.map_or(far.loops.report, |p| (p, now));
     }
 
@@ -457,8 +458,7 @@
         let Some(far) = self.fars.get_mut(&id).filter(|f| timed_out || f.silent_at != now) else { return };
         (far.unanswered, far.silent_at) = (far.unanswered + 1, now);
         if far.doubted {
-            far.trial_gap = (far.trial_gap * 2).min(TRIAL_GAP.1);
-            far.next_trial = now + gap;
+            (far.trial_gap, far.next_trial) = ((far.trial_gap * 2).min(TRIAL_GAP.1), now + gap);
         } else if far.unanswered >= DOUBT_AFTER {
             (far.doubted, far.next_trial) = (true, now + gap);
             out.push(Action::Log(format!("doubted {}", id.0)));
@@ -506,8 +506,7 @@
         self.home.step(now, raw);
         self.home.drained(&mut due);
         if (self.home.ratio > 0.0) != pressed {
-            let word = if pressed { "eased" } else { "pressed" };
-            out.push(Action::Log(format!("own processor {word}")));
+            out.push(Action::Log(format!("own processor {}", if pressed { "eased" } else { "pressed" })));
         }
         for id in due {
             if let Some(call) = self.calls.get_mut(&id) {
@@ -813,12 +812,13 @@
         let left = call.arrived + self.set.classes[call.new.class].aim - now;
         let (called, to, transit) = (call.new.called.clone(), call.new.destination, call.new.transit);
         self.no_longer_out(id, exchange);
+        let woke = self.fars.get(&exchange).map_or(0, |f| f.loops.renewed).max(self.turn.0);
         let (mut away, mut again) = (false, false);
         if matches!(outcome, Outcome::Ended | Outcome::Error | Outcome::Full | Outcome::Cancelled) {
             self.answered(exchange, out);
         }
         match (outcome, end.cause) {
-            (Outcome::TimedOut, _) if sent < self.turn.0 => again = tandem,
+            (Outcome::TimedOut, _) if sent < woke => again = tandem || sent >= self.turn.0,
             // Nothing came back from anywhere since: it is the own processor that is silent.
             (Outcome::TimedOut, _) if self.last_answer < sent => {
                 self.home.sample(now, ENDLESS);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -172,7 +172,6 @@
 enum Unread {
     Caller(Origin),
     Switch(ExchangeId),
-    Trial(ExchangeId),
     Feed,
 }
 
@@ -296,7 +295,6 @@
             match unread {
                 Unread::Caller(origin) => self.caller_ready(origin),
                 Unread::Switch(switch) => self.switch_ready(switch),
-                Unread::Trial(switch) => self.trial_ready(switch),
                 Unread::Feed => self.feed_ready(),
             }
         }
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -18,21 +18,55 @@
 /// One that has calls and has said nothing for so long is tried by a new connection: a dead or cut-off machine
 /// leaves its old ones open and silent, but new ones never come up.
 const SILENCE: Micros = 1_500_000;
+/// A connection on which nothing has come for so long since a set-up went out may have failed by itself: a new one
+/// is tried, and takes its place if the switch speaks on it.
+const STUCK: Micros = 150_000;
+/// For so long a connection that was replaced is still listened to: a slow answer may come.
+const RETIRED: Micros = 3_000_000;
+/// How often an open connection is looked at.
+const WATCH: Micros = 50_000;
 
 enum State {
     /// No connection; the next is tried then.
     Closed { retry_at: Micros },
     /// A connection is being set up until then.
     Connecting { link: Link, until: Micros },
-    /// A connection is open since then; the last word about a call was spoken on it at `used`.
-    Open { link: Link, since: Micros, used: Micros },
+    /// A connection is open.
+    Open(Open),
+}
+
+/// An open connection.
+struct Open {
+    link: Link,
+    since: Micros,
+    /// When the last word about a call was spoken on it.
+    used: Micros,
+    /// When a set-up went out on it with nothing heard since.
+    asked: Option<Micros>,
+    /// A call has been answered on it.
+    served: bool,
+}
+
+impl Open {
+    fn new(link: Link, now: Micros) -> Self {
+        Open { link, since: now, used: now, asked: None, served: false }
+    }
 }
 
 /// A second connection to a silent switch.
 struct Trial {
     link: Link,
+    since: Micros,
     until: Micros,
     up: bool,
+    /// How long it took until the switch spoke on it.
+    spoke: Option<Micros>,
+}
+
+/// A connection that a second one has replaced.
+struct Retired {
+    link: Link,
+    at: Micros,
 }
 
 /// What the control feed says of a switch.
@@ -60,12 +94,14 @@
     retry: Micros,
     /// When it was last heard, or a connection last came up.
     last_heard: Micros,
-    /// Its silence is looked at no sooner.
+    /// Its connection is looked at then.
     watch_at: Micros,
     /// Since when it can't be reached.
     lost_since: Option<Micros>,
     /// Shows whether it is still there when its connection is silent. What it says there counts as well.
     trial: Option<Trial>,
+    /// What came before the present connection, as long as answers may come on it.
+    retired: Option<Retired>,
     /// Its group has been reported, or it could not be reached: no reason to wait for it.
     heard: bool,
 }
@@ -122,7 +158,7 @@
     /// Whether all that was said is written.
     pub fn is_flushed(&self) -> bool {
         self.switches.values().all(|s| match &s.state {
-            State::Open { link, .. } => link.is_flushed(),
+            State::Open(open) => open.link.is_flushed(),
             _ => true,
         })
     }
@@ -130,7 +166,7 @@
     /// Writes to an open connection; false if there is none.
     fn write(&mut self, id: ExchangeId, message: &Message) -> bool {
         match self.switches.get_mut(&id).map(|s| &mut s.state) {
-            Some(State::Open { link, .. }) => message.encode(link.output()),
+            Some(State::Open(open)) => message.encode(open.link.output()),
             _ => false,
         }
     }
@@ -167,8 +203,8 @@
     pub fn flush(&mut self) -> Vec<ExchangeId> {
         let mut broken = Vec::new();
         for (id, switch) in &mut self.switches {
-            if let State::Open { link, .. } = &mut switch.state
-                && let Err(e) = link.flush()
+            if let State::Open(open) = &mut switch.state
+                && let Err(e) = open.link.flush()
             {
                 log(&format!("switch {}: the connection broke: {e}", switch.host.name));
                 broken.push(*id);
@@ -218,6 +254,7 @@
                 watch_at: now,
                 lost_since: None,
                 trial: None,
+                retired: None,
                 heard: false,
             }
         });
@@ -232,8 +269,8 @@
             self.driver.switch_died(now, id, up);
         }
         let switch = self.switches.switches.get(&id);
-        let stale = switch.is_some_and(|s| match s.state {
-            State::Open { since, .. } => restarted.is_some_and(|up| since < up),
+        let stale = switch.is_some_and(|s| match &s.state {
+            State::Open(open) => restarted.is_some_and(|up| open.since < up),
             _ => false,
         });
         if stale || before.address != host.address {
@@ -270,16 +307,18 @@
         let Some(switch) = self.switches.switches.get_mut(&id).filter(|s| s.wanted()) else {
             return self.driver.unreachable(id, &[tag]);
         };
-        if let State::Open { used, .. } = switch.state
-            && about_to_close(now - used, self.switches.keepalive)
+        if let State::Open(open) = &switch.state
+            && about_to_close(now - open.used, self.switches.keepalive)
         {
-            // Guards against a set-up that crosses the close of an idle connection and is lost with it.
-            self.drop_link(id);
+            // Guards against a set-up that crosses the close of an idle connection and is lost with it. It is
+            // the only one that is out, and not yet on any connection.
+            self.end_link(id, now, now - 1);
         }
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
-        if let State::Open { link, used, .. } = &mut switch.state {
-            *used = now;
-            if !left(&mut message, until - now).encode(link.output()) {
+        if let State::Open(open) = &mut switch.state {
+            open.used = now;
+            open.asked.get_or_insert(now);
+            if !left(&mut message, until - now).encode(open.link.output()) {
                 log(&format!("set-up {tag:016x} is too long to be passed on"));
                 let release =
                     Release { cause: cause::UNAVAILABLE, note: Cause::None, report: Report::default() };
@@ -326,92 +365,158 @@
         }
     }
 
-    /// Looks after a connection that is open: has the switch been silent for too long?
+    /// Looks after a connection that is open: has the switch been silent on it for too long?
     fn watch(&mut self, id: ExchangeId) {
         let now = self.clock.now();
-        let used = self.driver.uses(id);
+        let (used, oldest) = (self.driver.uses(id), self.driver.oldest_out(id));
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        let State::Open(open) = &switch.state else { return };
+        // One that has come in place of another is not looked at twice as often.
         if now < switch.watch_at {
             return;
         }
+        switch.watch_at = now + WATCH;
+        self.driver.timers.push(switch.watch_at, Due::Link(id));
         // One that takes connections and says nothing is not waited for.
-        switch.heard = true;
+        switch.heard |= now >= open.since + SILENCE;
+        let stuck = open.asked.is_some_and(|asked| now >= asked + STUCK) && switch.retired.is_none();
         if !used {
             switch.last_heard = now;
         }
-        let silent = now - switch.last_heard;
-        let until = switch.trial.as_ref().map_or(now, |t| t.until);
-        let pending = switch.trial.as_ref().is_some_and(|t| !t.up && now < t.until);
-        if silent < SILENCE || pending {
-            switch.watch_at = if pending { until } else { now + SILENCE - silent };
-            return self.driver.timers.push(switch.watch_at, Due::Link(id));
+        if switch.retired.as_ref().is_some_and(|r| now >= r.at + RETIRED || oldest.is_none_or(|o| o >= r.at))
+        {
+            self.close_retired(id);
         }
-        if let Some(trial) = switch.trial.take() {
-            trial.link.close(&self.switches.handle);
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        let silent = now - switch.last_heard;
+        match &switch.trial {
+            Some(trial) if !trial.up && now < trial.until => return,
+            Some(trial) if trial.spoke.is_some() && stuck => return self.replace_link(id),
+            Some(trial) if trial.up && silent < SILENCE => return,
+            None if !stuck && silent < SILENCE => return,
+            _ => self.close_trial(id),
         }
         if silent >= SILENCE + DEAD_AFTER {
-            log(&format!("switch {} is silent and no new connection comes up", switch.host.name));
-            // The time of its silence counts: nothing is gained by waiting for refusals as well.
-            switch.lost_since = Some(switch.last_heard);
-            self.close_link(id, now);
-            return self.driver.switch_died(now, id, now);
+            return self.silent_for_good(id);
         }
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
         let Some(address) = switch.host.address else { return };
         let until = now + self.switches.connect_timeout;
-        match Link::connect(&self.switches.handle, address, self.switches.most_unsent, move |node| {
-            node.trial_ready(id)
-        }) {
-            Ok(link) => switch.trial = Some(Trial { link, until, up: false }),
+        let most = self.switches.most_unsent;
+        match Link::connect(&self.switches.handle, address, most, move |node| node.switch_ready(id)) {
+            Ok(link) => switch.trial = Some(Trial { link, since: now, until, up: false, spoke: None }),
             Err(e) => log(&format!("switch {} refuses a new connection: {e}", switch.host.name)),
         }
-        switch.watch_at = until;
-        self.driver.timers.push(until, Due::Link(id));
     }
 
-    /// Something has happened on a second connection.
-    pub(super) fn trial_ready(&mut self, id: ExchangeId) {
+    /// A switch has been silent, and no new connection came up.
+    fn silent_for_good(&mut self, id: ExchangeId) {
         let now = self.clock.now();
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
-        let Some(trial) = &mut switch.trial else { return };
-        let over = match trial.link.connected() {
-            Ok(true) => {
-                if !trial.up {
-                    (trial.up, switch.last_heard) = (true, now);
-                }
-                let progress = trial.link.read();
-                let (messages, result) = trial.link.messages(lines::decode);
-                let result = messages.into_iter().try_for_each(|m| self.heard_switch(now, id, m)).and(result);
-                if progress == Progress::More {
-                    self.unread.push(Unread::Trial(id));
+        log(&format!("switch {} is silent and no new connection comes up", switch.host.name));
+        // The time of its silence counts: nothing is gained by waiting for refusals as well.
+        switch.lost_since = Some(switch.last_heard);
+        self.close_link(id, now);
+        self.driver.switch_died(now, id, now);
+    }
+
+    /// The second connection takes the place of one on which nothing comes any more, though the switch lives.
+    /// Guards against a connection that has failed and stays open: set-ups would go there for good, unanswered.
+    fn replace_link(&mut self, id: ExchangeId) {
+        let now = self.clock.now();
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        let Some(trial) = switch.trial.take() else { return };
+        log(&format!("switch {}: set-ups stay unanswered; a new connection takes over", switch.host.name));
+        let open = State::Open(Open::new(trial.link, now));
+        if let State::Open(old) = std::mem::replace(&mut switch.state, open) {
+            switch.retired = Some(Retired { link: old.link, at: now });
+            // It was the connection that failed, unless the one before it never served either.
+            let took = trial.spoke.filter(|_| old.served);
+            took.into_iter().for_each(|took| self.driver.alive(id, took));
+        }
+    }
+
+    /// The one place where a connection that was replaced is given back, with the set-ups that are open on it.
+    fn close_retired(&mut self, id: ExchangeId) {
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        if let Some(retired) = switch.retired.take() {
+            retired.link.close(&self.switches.handle);
+            self.driver.link_lost(id, retired.at);
+        }
+    }
+
+    /// The one place where a second connection is given back.
+    fn close_trial(&mut self, id: ExchangeId) {
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        switch.trial.take().into_iter().for_each(|t| t.link.close(&self.switches.handle));
+    }
+
+    /// Reads a second connection and one that was replaced.
+    fn read_others(&mut self, id: ExchangeId) {
+        let now = self.clock.now();
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        if let Some(trial) = &mut switch.trial {
+            match trial.link.connected() {
+                Ok(false) => {}
+                Ok(true) => {
+                    if !trial.up {
+                        (trial.up, switch.last_heard) = (true, now);
+                    }
+                    let said = read_lines(&mut trial.link);
+                    if !said.0.is_empty() {
+                        trial.spoke.get_or_insert(now - trial.since);
+                    }
+                    if !self.heard_lines(now, id, said) {
+                        self.close_trial(id);
+                    }
                 }
-                result.is_err() || matches!(progress, Progress::End | Progress::Broken)
+                Err(_) => self.close_trial(id),
+            }
+        }
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
+        if let Some(retired) = &mut switch.retired {
+            let said = read_lines(&mut retired.link);
+            if !self.heard_lines(now, id, said) {
+                self.close_retired(id);
             }
-            Ok(false) => false,
-            Err(_) => true,
-        };
-        if over && let Some(switch) = self.switches.switches.get_mut(&id) {
-            switch.trial.take().into_iter().for_each(|t| t.link.close(&self.switches.handle));
         }
     }
 
+    /// Takes what a connection has said; false if it is over.
+    fn heard_lines(&mut self, now: Micros, id: ExchangeId, (messages, result, progress): Said) -> bool {
+        let result = messages.into_iter().try_for_each(|m| self.heard_switch(now, id, m)).and(result);
+        if progress == Progress::More {
+            self.unread.push(Unread::Switch(id));
+        }
+        result.is_ok() && !matches!(progress, Progress::End | Progress::Broken)
+    }
+
     /// Drops the connection to a switch, if there is one, and with it what was open on it.
     pub(super) fn drop_link(&mut self, id: ExchangeId) {
         let now = self.clock.now();
         self.close_link(id, now);
     }
 
-    /// The one place where a connection to a switch is given back.
+    /// Closes the connection to a switch; the next is tried then.
     fn close_link(&mut self, id: ExchangeId, retry_at: Micros) {
+        let now = self.clock.now();
+        self.end_link(id, retry_at, now);
+    }
+
+    /// The one place where a connection to a switch is given back, with the set-ups that were sent up to then.
+    fn end_link(&mut self, id: ExchangeId, retry_at: Micros, up_to: Micros) {
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
         match std::mem::replace(&mut switch.state, State::Closed { retry_at }) {
-            State::Open { link, .. } => {
-                link.close(&self.switches.handle);
-                self.driver.link_lost(id);
+            State::Open(open) => {
+                open.link.close(&self.switches.handle);
+                self.driver.link_lost(id, up_to);
             }
             State::Connecting { link, .. } => link.close(&self.switches.handle),
             State::Closed { .. } => {}
         }
-        switch.trial.take().into_iter().for_each(|t| t.link.close(&self.switches.handle));
+        self.close_trial(id);
+        self.close_retired(id);
+        let Some(switch) = self.switches.switches.get_mut(&id) else { return };
         let waiting: Vec<Tag> = switch.waiting.drain(..).map(|w| w.0).collect();
         self.driver.unreachable(id, &waiting);
         self.driver.timers.push(retry_at, Due::Link(id));
@@ -425,7 +530,7 @@
                 self.not_connected(id, "no connection in time");
             }
             Some(State::Closed { retry_at }) if *retry_at <= now => self.connect(id),
-            Some(State::Open { .. }) => self.watch(id),
+            Some(State::Open(_)) => self.watch(id),
             _ => {}
         }
     }
@@ -441,10 +546,14 @@
                 Err(e) => return self.not_connected(id, &e.to_string()),
             }
         }
+        self.read_others(id);
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
-        let State::Open { link, .. } = &mut switch.state else { return };
-        let progress = link.read();
-        let (messages, result) = link.messages(lines::decode);
+        let State::Open(open) = &mut switch.state else { return };
+        let (messages, result, progress) = read_lines(&mut open.link);
+        if !messages.is_empty() {
+            open.asked = None;
+        }
+        open.served |= messages.iter().any(|m| m.verb != "LOAD");
         let name = switch.host.name.clone();
         let result = messages.into_iter().try_for_each(|m| self.heard_switch(now, id, m)).and(result);
         if let Err(what) = result {
@@ -467,11 +576,11 @@
         let now = self.clock.now();
         let Some(switch) = self.switches.switches.get_mut(&id) else { return };
         (switch.retry, switch.lost_since, switch.last_heard) = (RETRY.0, None, now);
-        switch.watch_at = now + SILENCE;
+        switch.watch_at = now + WATCH;
         self.driver.timers.push(switch.watch_at, Due::Link(id));
         let state = std::mem::replace(&mut switch.state, State::Closed { retry_at: now });
         if let State::Connecting { link, .. } = state {
-            switch.state = State::Open { link, since: now, used: now };
+            switch.state = State::Open(Open::new(link, now));
         }
         let (debts, waiting) = (std::mem::take(&mut switch.debts), std::mem::take(&mut switch.waiting));
         for tag in debts {
@@ -491,8 +600,8 @@
             return Ok(());
         }
         let tag = message.call().ok_or("a message about no call")?;
-        if let Some(State::Open { used, .. }) = self.switches.switches.get_mut(&id).map(|s| &mut s.state) {
-            *used = now;
+        if let Some(State::Open(open)) = self.switches.switches.get_mut(&id).map(|s| &mut s.state) {
+            open.used = now;
         }
         match message.verb.as_str() {
             "STARTED" => self.driver.stands(now, id, tag, message.blob),
@@ -509,6 +618,15 @@
     }
 }
 
+/// What was read at a time: the messages, what is wrong with what follows them, and how the reading went.
+type Said = (Vec<Message>, Result<(), &'static str>, Progress);
+
+fn read_lines(link: &mut Link) -> Said {
+    let progress = link.read();
+    let (messages, result) = link.messages(lines::decode);
+    (messages, result, progress)
+}
+
 /// Whether a connection that has been idle for so long may be closed before a set-up gets there.
 fn about_to_close(idle: Micros, keepalive: Micros) -> bool {
     idle >= keepalive - (keepalive / 4).min(1_000_000)
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -250,6 +250,7 @@
     reload
     reset_waits_for_the_release
     silent_switch
+    stuck_connection
     sigterm
     switches_come_and_go
     time_out
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -131,6 +131,22 @@
     assert!(rig.logs.iter().any(|l| l == "trusted 101"));
 }
 
+#[test]
+fn set_ups_lost_on_a_connection_that_failed_do_not_make_their_processor_doubted() {
+    // Danger: they run out of time one by one after a new connection has found the processor alive.
+    for alive in [true, false] {
+        let mut rig = Rig::new(|_| {});
+        rig.steady(100..130, ms(60), ms(100));
+        (1..=5).for_each(|id| drop(rig.call(id, 1)));
+        rig.run(ms(200));
+        let (exchange, answered, took) = (ExchangeId(101), alive, ms(20));
+        rig.event(Event::Probed { exchange, answered, took, report: Report::default() });
+        rig.steady(130..131, ms(60), ms(1800));
+        rig.time_out(101);
+        assert_eq!(rig.logs.iter().any(|l| l == "doubted 101"), !alive);
+    }
+}
+
 #[test]
 fn a_link_that_breaks_under_many_calls_is_one_silence() {
     // Danger: one spoilt answer costs the link, and all that was out on it makes a sound processor doubted.
