--- a/src/call.rs
+++ b/src/call.rs
@@ -870,6 +870,30 @@
         assert_eq!(rig.call(2, 3000 * MS), [Command::Reject { origin, tag, cause, back_off }]);
     }
 
+    #[test]
+    fn descriptions_of_open_calls_are_bounded_and_given_back() {
+        // Guards the memory: what open calls hold of it is counted, and no longer counted once they are answered.
+        let mut rig = Rig::new();
+        rig.driver.limits.descriptions = 10;
+        let set_up = |rig: &mut Rig, tag: Tag| {
+            let description = Some("v=0 s=-".to_string());
+            let new =
+                SetUp { tag, class: "check".into(), called: "n".into(), left: 3000 * MS, ..SetUp::default() };
+            rig.driver
+                .set_up(rig.now, ORIGIN, SetUp { destination: 1, width: 1.0, description, ..new })
+                .unwrap();
+            rig.now += 10 * MS;
+            rig.turn()
+        };
+        assert!(matches!(set_up(&mut rig, 1)[..], [Command::SetUp { tag: 1, .. }]));
+        assert!(matches!(set_up(&mut rig, 2)[..], [Command::Reject { tag: 2, .. }]));
+        rig.driver.stands(rig.now, FAR, 1, None);
+        rig.turn();
+        assert!(matches!(set_up(&mut rig, 3)[..], [Command::SetUp { tag: 3, .. }]));
+        rig.driver.released(rig.now, 3);
+        assert_eq!(rig.driver.held, 0);
+    }
+
     #[test]
     fn a_probe_is_answered_once_or_fails_in_time() {
         let mut rig = Rig::new();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -384,3 +384,21 @@
         each(&bytes);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn budgets_follow_the_configuration_and_fit_into_it() {
+        for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 128), (1024, 192)] {
+            let memory = memory_mb * 1_000_000;
+            let budget = Budget::new(sockets, memory);
+            // Usual callers hold a third; switches, the feed and the program itself need the rest.
+            assert!(budget.callers > sockets / 3 && sockets - budget.callers >= 64);
+            let unsent = budget.callers * budget.caller_unsent + 9 * budget.peer;
+            assert!(budget.caller_unsent >= binary::MOST);
+            assert!(unsent + budget.calls * 1024 + budget.descriptions < memory * 3 / 4, "{memory_mb} MB");
+        }
+    }
+}
