--- a/src/call.rs
+++ b/src/call.rs
@@ -279,11 +279,6 @@
         self.calls.values().filter(|c| matches!(c.stage, Stage::Open(_))).count()
     }
 
-    /// Whether there is any call, open or standing.
-    pub fn is_idle(&self) -> bool {
-        self.calls.is_empty()
-    }
-
     /// Whether a call has an attempt out at a switch, or stands there.
     pub fn uses(&self, switch: ExchangeId) -> bool {
         self.calls.values().any(|c| match &c.stage {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -284,8 +284,7 @@
         self.flush();
         let quiet = |since: Micros| {
             let flushed = self.callers.is_flushed() && self.switches.is_flushed();
-            // The ends of calls that stand are passed on as long as there is time.
-            now >= since + STILL_COMING && self.driver.is_idle() && flushed
+            now >= since + STILL_COMING && self.driver.unanswered() == 0 && flushed
         };
         self.stopping.is_some_and(|since| quiet(since) || now >= since + LAST_ANSWER + 100_000)
     }
