--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -123,10 +123,18 @@
     Event(Event),
 }
 
+/// A number and nothing else. Guards against taking it for the event of that number, which would then be skipped.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Alone {
+    n: u64,
+}
+
 fn decode(bytes: &[u8], most: usize) -> Decoded<Line> {
     let Some((line, taken)) = lines::line(bytes, most)? else { return Ok(None) };
     let text = std::str::from_utf8(line).map_err(|_| "a line that is no text")?.trim();
-    let line = match text.parse() {
+    let alone = text.parse().or_else(|_| serde_json::from_str(text).map(|alone: Alone| alone.n));
+    let line = match alone {
         Ok(last) => Line::Last(last),
         Err(_) => Line::Event(serde_json::from_str(text).map_err(|_| "a line that holds no event")?),
     };
