Judge the own processor by what set-ups take beyond each far end's quiet delay

The own processor's d0 was the 17 ms of the near one, the far one answers after 41 ms with nothing waiting, so that its pressure stood at 0.57 with an idle processor, above the target with 16 ms of waiting, and up to 125 calls a second were refused for 6 s, while the far switch itself reported a wait of nought.

At fault: on_standing gave the home loop the bare delay. Now sample() gives it what exceeds the far end's own d0, on top of the bearable delay, and overdue set-ups count alike.

Test: a_longer_way_to_some_far_ends_is_no_pressure_at_home; without the change the second phase is refused.

--- a/src/control.rs
+++ b/src/control.rs
@@ -435,10 +435,15 @@
         far.loops.report = told.map_or(far.loops.report, |p| (p, now));
     }
 
-    /// Credits a set-up delay, less what the own processor adds to all of them.
+    /// Credits a set-up delay, less what the own processor adds to all of them, and to that what it took beyond
+    /// the quiet one. Danger: when traffic turned to farther ends, their longer way counted as pressure at home.
     fn sample(&mut self, now: Micros, id: ExchangeId, delay: Micros) {
-        let excess = self.home.excess();
+        let (excess, most) = (self.home.excess(), self.bearable());
         if let Some(far) = self.fars.get_mut(&id) {
+            if delay < ENDLESS {
+                let quiet = far.loops.quiet().unwrap_or(most).min(most);
+                self.home.sample(now, most + (delay - quiet).max(0));
+            }
             let quiet = far.loops.quiet().unwrap_or(0).min(delay);
             far.loops.failed &= delay == ENDLESS;
             far.loops.sample(now, (delay - excess).max(quiet));
@@ -497,7 +502,8 @@
         for far in self.fars.values_mut() {
             let quiet = far.loops.quiet().unwrap_or(most).min(most);
             let aged = far.out.iter().map(|o| now - o.0.max(woke));
-            overdue.extend(aged.clone().filter(|a| *a > OVERDUE * quiet).take(2 * usize::from(!far.doubted)));
+            let beyond = aged.clone().filter(|a| *a > OVERDUE * quiet).map(|a| most + a - quiet);
+            overdue.extend(beyond.take(2 * usize::from(!far.doubted)));
             let late: Vec<Micros> = aged.map(|a| a - excess).filter(|a| *a > OVERDUE * quiet).collect();
             far.loops.fit(self.places[&far.listed.number].offered.read(now, TAU_TRAFFIC));
             let raw = far.loops.measure(now, &late, 0.5, most);
@@ -661,8 +667,8 @@
             let Some(x) = place.server.filter(|_| skilled) else { continue };
             // Full beyond, when last seen: another agent's group, of which nothing else is known.
             let seen = self.beyond.get(&pair(*n, to)).filter(|b| b.1 > now).map(|b| b.0);
-            let fits = self.room(x) >= width + self.reserve(now, x);
-            if seen != Some(false) && fits && self.gate(now, id, x, true) {
+            let fits = seen != Some(false) && self.room(x) >= width + self.reserve(now, x);
+            if fits && self.gate(now, id, x, true) {
                 open.push((seen == Some(true), x));
             }
         }
@@ -786,7 +792,6 @@
         self.last_answer = now;
         if sent >= self.turn.0 || now > self.turn.0 {
             self.sample(now, exchange, took.max(1));
-            self.home.sample(now, took.max(1));
         }
     }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -197,6 +197,30 @@
     assert!(rig.logs.iter().all(|l| !l.starts_with("doubted")));
 }
 
+#[test]
+fn a_longer_way_to_some_far_ends_is_no_pressure_at_home() {
+    // Danger: the quietest delay was that of a near exchange. With all traffic to a farther one the own processor
+    // seemed pressed, and calls were refused while it was idle.
+    let mut rig = Rig::new(|_| {});
+    let mut id = 0;
+    let mut calls = |rig: &mut Rig, near: bool| {
+        for _ in 0..60 {
+            if near {
+                id += 1;
+                rig.call(id, 1);
+                rig.stands(id, 0, ms(20));
+            }
+            id += 1;
+            assert_eq!(rig.call(id, 2), vec![102]);
+            rig.stands(id, 0, ms(80));
+            rig.run(ms(50));
+        }
+    };
+    calls(&mut rig, true);
+    calls(&mut rig, false);
+    assert!(!rig.logs.iter().any(|l| l == "own processor pressed"));
+}
+
 #[test]
 fn a_slow_far_end_is_throttled_and_the_others_are_not() {
     let mut rig = Rig::new(|_| {});
