Let the trials of a doubted processor follow the aims

In the logs 'doubted' and 'trusted' lie between 2 ms and 3 s apart.

Now the gaps are shares of the shortest aim, 4/15 and 4/3: as before where that is 1.5 s. Test: trials_of_a_doubted_processor_come_more_often_where_calls_are_wanted_sooner; without the change it fails.

--- a/src/control.rs
+++ b/src/control.rs
@@ -66,8 +66,9 @@
 const TANDEM_STRETCH: f64 = 1.5;
 /// Unanswered attempts in a row that make a processor doubted.
 const DOUBT_AFTER: u32 = 2;
-/// First and longest gap between single trials of a doubted processor.
-const TRIAL_GAP: (Micros, Micros) = (400 * MS, 2 * SECOND);
+/// First and longest gap between single trials of a doubted processor, in shortest aims. Danger: where calls
+/// are wanted within half a second, seconds between trials refuse all that a short silence leaves.
+const TRIAL_GAP: (f64, f64) = (4.0 / 15.0, 4.0 / 3.0);
 /// Share of the aim that an attempt over a tandem, or where answers are quick, may use; another can follow.
 const HALF: f64 = 0.5;
 /// Most by which a surge raises a part of a cold budget; what the processor bore of its own is the margin.
@@ -273,7 +274,7 @@
     unanswered: u32,
     silent_at: Micros,
     doubted: bool,
-    trial_gap: Micros,
+    trial_gap: f64,
     next_trial: Micros,
 }
 
@@ -377,6 +378,11 @@
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
 
+    /// A share of the shortest aim.
+    fn of_aim(&self, share: f64) -> Micros {
+        self.set.classes.iter().map(|c| (c.aim as f64 * share) as Micros).min().unwrap_or(ENDLESS)
+    }
+
     fn jitter(&mut self, span: Micros) -> Micros {
         (span as f64 * (0.75 + 0.5 * self.draw())) as Micros
     }
@@ -435,8 +441,8 @@
         far.loops.report = told.map_or(far.loops.report, |p| (p, now));
     }
 
-    /// Credits a set-up delay, less what the own processor adds to all of them, and to that what it took beyond
-    /// the quiet one. Danger: when traffic turned to farther ends, their longer way counted as pressure at home.
+    /// Credits a set-up delay, less what the own processor adds to all; and to that what it took beyond the
+    /// quiet one. Danger: when traffic turned to farther ends, their longer way counted as pressure at home.
     fn sample(&mut self, now: Micros, id: ExchangeId, delay: Micros) {
         let (excess, most) = (self.home.excess(), self.bearable());
         if let Some(far) = self.fars.get_mut(&id) {
@@ -460,12 +466,13 @@
     }
 
     fn unanswered(&mut self, now: Micros, id: ExchangeId, timed_out: bool, out: &mut Vec<Action>) {
-        let gap = self.jitter(self.fars.get(&id).map_or(0, |f| f.trial_gap));
+        let gap = self.fars.get(&id).map_or(0, |f| self.of_aim(f.trial_gap));
+        let gap = self.jitter(gap);
         // Danger: a broken link ends all that is out on it at once. That is one silence, however many calls.
         let Some(far) = self.fars.get_mut(&id).filter(|f| timed_out || f.silent_at != now) else { return };
         (far.unanswered, far.silent_at) = (far.unanswered + 1, now);
         if far.doubted {
-            (far.trial_gap, far.next_trial) = ((far.trial_gap * 2).min(TRIAL_GAP.1), now + gap);
+            (far.trial_gap, far.next_trial) = ((far.trial_gap * 2.0).min(TRIAL_GAP.1), now + gap);
         } else if far.unanswered >= DOUBT_AFTER {
             (far.doubted, far.next_trial) = (true, now + gap);
             out.push(Action::Log(format!("doubted {}", id.0)));
@@ -759,7 +766,8 @@
         let far = &self.fars[&to];
         let (number, cold, budget) =
             (far.listed.number, far.is_cold(now, &self.set), self.cold_budget(now, far));
-        let gap = self.jitter(far.trial_gap);
+        let gap = self.of_aim(far.trial_gap);
+        let gap = self.jitter(gap);
         let place = self.places.entry(number).or_default();
         if cold {
             place.budget = (budget - 1.0, now);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -155,6 +155,28 @@
     assert!(rig.logs.iter().any(|l| l == "trusted 101"));
 }
 
+#[test]
+fn trials_of_a_doubted_processor_come_more_often_where_calls_are_wanted_sooner() {
+    // Danger: with aims of half a second, trials up to two seconds apart refused nearly all calls to a processor
+    // that was silent for a moment.
+    let longest_wait = |aim: Micros| {
+        let mut rig = Rig::new(|set| set.classes[0].aim = aim);
+        for id in 1..100 {
+            // Answers from elsewhere show that it is not the own processor.
+            rig.call(1000 + id, 2);
+            rig.stands_if_out(1000 + id, ms(60));
+            rig.call(id, 1);
+            rig.run(ms(150));
+            rig.time_out(101);
+        }
+        assert!(rig.logs.iter().any(|l| l == "doubted 101"));
+        let at: Vec<Micros> = rig.sends.iter().filter(|s| s.exchange == 101).map(|s| s.at).collect();
+        at.windows(2).map(|w| w[1] - w[0]).max().unwrap()
+    };
+    let (usual, short) = (longest_wait(ms(1500)), longest_wait(ms(375)));
+    assert!(usual > 2 * short, "{usual} {short}");
+}
+
 #[test]
 fn set_ups_lost_on_a_connection_that_failed_do_not_make_their_processor_doubted() {
     // Danger: they run out of time one by one after a new connection has found the processor alive.
