--- a/review/standins/peers.py
+++ b/review/standins/peers.py
@@ -197,7 +197,7 @@
         self.starts = []         # (time, tag, number of the connection)
         self.released_by_gatekeeper = []   # (time, tag, whether it stood)
         self.doubles = []        # (tag, whether the first had been answered) of two attempts out at once
-        self.unheard = []        # releases to repeat on the next connection
+        self.unheard = []        # releases to send on the next connection opened as well
         self.circuits = 30
 
     async def start(self):
@@ -313,8 +313,7 @@
             self.end(tag, attempt, "the call has come to its end")
         if connection:
             connection.send("FINISH", tag, rc)
-        else:
-            self.unheard.append((tag, rc))
+        self.unheard.append((tag, rc))
         return self.record.now()
 
 
