--- a/review/1/case.py
+++ b/review/1/case.py
@@ -35,9 +35,11 @@
         if TROUBLE and not bad and record.now() >= flood_from:
             record("bad clients", f"{BAD_CLIENTS} send {AT_ONCE} set-ups at once, and again when turned away")
             for number in range(1, BAD_CLIENTS + 1):
-                bad.append(await asyncio.create_subprocess_exec(
+                client = await Helper.start(
                     sys.executable, "-B", os.path.join(STANDINS, "bad_client.py"), platform.address,
-                    str(number), str(FLOOD_S - 1), str(AT_ONCE), stdout=asyncio.subprocess.PIPE))
+                    str(number), str(FLOOD_S - 1), str(AT_ONCE))
+                bad.append(client)
+                started.append(client)
         call = 0x1000 + len(calls)
         calls[call] = record.now()
         caller.send(set_up(call, left_ms=3600, dest=1 + call % 2), f"set-up {call:016x}")
@@ -46,8 +48,7 @@
     if ended is None:
         await asyncio.sleep(4)
     for client in bad:
-        output, _ = await client.communicate()
-        record("bad client", output.decode().strip())
+        record("bad client", await client.output())
     record("platform", f"the most that the gatekeeper held: {platform.highest_mb:.1f} MB")
     guard.cancel()
 
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,9 @@
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")" || exit 2
 . ../python.sh
-exec "$PYTHON" -B case.py
+"$PYTHON" -B case.py
+case $? in
+    0) exit 0 ;;
+    10) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/standins/bad_client.py
+++ b/review/standins/bad_client.py
@@ -37,7 +37,10 @@
         more = width - (sent - answered)
         connection.sendall(b"".join(numbered(sent + index) for index in range(more)))
         sent += more
-        waiting += connection.recv(1 << 20)
+        received = connection.recv(1 << 20)
+        if not received:
+            break
+        waiting += received
         position = 0
         while len(waiting) - position >= 2:
             (length,) = struct.unpack(">H", waiting[position:position + 2])
