--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,8 @@
 sys.path.insert(0, STANDINS)
 from peers import *
 
-MEMORY_MB = 64        # the pages: 32 to 192 MB
+MEMORY_MB = 48        # the pages: 32 to 192 MB; the bench gives 48 MB on its days with bad clients
+SOCKETS = 384         # the pages: 256 to 1,024; the bench gives 384 on those days
 BAD_CLIENTS = 6
 AT_ONCE = 100         # set-ups that each bad client has open; the pages: hundreds at once
 FLOOD_S = 20
@@ -21,7 +22,7 @@
     feed = Feed(record, [host("s-0", "127.0.0.1:1", 0)]
                 + [host(s.name, s.address, n) for n, s in enumerate(switches, 1)])
     await feed.start()
-    platform = Platform(record, feed, memory_mb=MEMORY_MB)
+    platform = Platform(record, feed, memory_mb=MEMORY_MB, sockets=SOCKETS)
     started.append(platform)
     await platform.start()
     await platform.wait_ready()
