Cancel the timers of a call when it ends

Cause: the controller started a timer for each new call, to end it before its caller gives up, and a timer could not be withdrawn. A call that was refused within milliseconds left its timer in `CallControl::timers` until the caller's deadline, up to 13.5 s later. The time-out of an attempt stayed in the same way after the attempt, that of a probe after its answer, and the timers of the feed and of the switches' connections after they had been set again.

Change: a timer can be cancelled. A call that is refused at once starts none, `Controller::remove_call` and an answer cancel those of their call, `Call::take_attempt` that of the attempt, and the feed and each switch have one timer that takes the place of the last. So the queue holds at most a few timers for each call in the call table, switch and probe.

--- a/src/call.rs
+++ b/src/call.rs
@@ -9,7 +9,7 @@
     Outcome, SECOND, Settings, SwitchId, SwitchListUpdate,
 };
 use crate::settings::IndexedNames;
-use crate::timers::TimerQueue;
+use crate::timers::{TimerId, TimerQueue};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 #[cfg(test)]
@@ -221,6 +221,8 @@
     number: u32,
     switch: SwitchId,
     sent_at: Micros,
+    /// The timer of its time-out.
+    timer: TimerId,
 }
 
 enum CallState {
@@ -245,10 +247,35 @@
     state: CallState,
 }
 
+impl Call {
+    /// Ends the attempt in progress, if there is one, and cancels its timer. All attempts end here.
+    fn take_attempt(&mut self, timers: &mut TimerQueue<TimerEvent>) -> Option<Attempt> {
+        let CallState::Unanswered(attempt) = &mut self.state else { return None };
+        let attempt = attempt.take()?;
+        timers.cancel(attempt.timer);
+        Some(attempt)
+    }
+
+    /// The attempt in progress, if it is at `switch`.
+    fn attempt_at(&self, switch: SwitchId) -> Option<&Attempt> {
+        match &self.state {
+            CallState::Unanswered(Some(attempt)) if attempt.switch == switch => Some(attempt),
+            _ => None,
+        }
+    }
+
+    /// Whether the attempt in progress has this number.
+    fn is_attempting(&self, number: u32) -> bool {
+        matches!(&self.state, CallState::Unanswered(Some(attempt)) if attempt.number == number)
+    }
+}
+
 /// A probe that is in progress at a switch.
 struct Probe {
     switch: SwitchId,
     sent_at: Micros,
+    /// The timer of its time-out.
+    timer: TimerId,
 }
 
 /// When the tag of an ended call is no longer kept.
@@ -283,6 +310,8 @@
     next_batch_at: Micros,
     /// Actions that the controller has asked for.
     actions: Vec<Action>,
+    /// The controller's timers that have not expired, by their tokens.
+    controller_timers: HashMap<u64, TimerId>,
     /// All timers of the program, those of the network code included: the event loop has a single system
     /// timer.
     pub timers: TimerQueue<TimerEvent>,
@@ -312,6 +341,7 @@
             pending_events: vec![],
             next_batch_at: now,
             actions,
+            controller_timers: HashMap::new(),
             timers: TimerQueue::default(),
             commands: vec![],
         };
@@ -340,10 +370,7 @@
 
     /// When the oldest of the attempts in progress at a switch was sent.
     pub fn oldest_attempt_sent_at(&self, switch: SwitchId) -> Option<Micros> {
-        let sent_at = |call: &Call| match &call.state {
-            CallState::Unanswered(Some(attempt)) if attempt.switch == switch => Some(attempt.sent_at),
-            _ => None,
-        };
+        let sent_at = |call: &Call| call.attempt_at(switch).map(|attempt| attempt.sent_at);
         self.calls.values().filter_map(sent_at).min()
     }
 
@@ -470,11 +497,11 @@
 
     /// Removes a call whose caller has released it or has disconnected, and releases it at its switch.
     fn release_for_caller(&mut self, now: Micros, id: CallId) {
-        let Some(call) = self.remove_call(now, id) else { return };
+        let Some(mut call) = self.remove_call(now, id) else { return };
         match call.state {
-            CallState::Unanswered(attempt) => {
+            CallState::Unanswered(_) => {
                 self.pending_events.push(Event::CallerGone(id));
-                if let Some(attempt) = attempt {
+                if let Some(attempt) = call.take_attempt(&mut self.timers) {
                     self.release_at_switch(call.tag, attempt.switch);
                     self.push_attempt_end(id, attempt.number, attempt.switch, Outcome::Cancelled, true);
                 }
@@ -495,22 +522,21 @@
         let id = self.call_ids.get(&tag).copied();
         let call = id.and_then(|id| self.calls.get_mut(&id).map(|call| (id, call)));
         if let Some((id, call)) = call {
-            match &call.state {
-                CallState::Unanswered(Some(attempt)) if attempt.switch == switch => {
-                    let attempt_number = attempt.number;
-                    let sent_at = attempt.sent_at;
-                    call.state = CallState::Answered { switch, sent_at, attempt_number };
-                    let set_up_delay = now - sent_at;
-                    // The caller's session description is no longer needed, and an answered call may last
-                    // long.
-                    self.description_bytes -= call.session_description.take().map_or(0, |text| text.len());
-                    self.pending_events.push(Event::CallAnswered { call: id, attempt_number, set_up_delay });
-                    let connection = call.connection;
-                    return self.commands.push(Command::Answer { connection, tag, session_description });
-                }
+            if call.attempt_at(switch).is_some()
+                && let Some(attempt) = call.take_attempt(&mut self.timers)
+            {
+                let Attempt { number: attempt_number, sent_at, .. } = attempt;
+                call.state = CallState::Answered { switch, sent_at, attempt_number };
+                let set_up_delay = now - sent_at;
+                // The caller's session description is no longer needed, and an answered call may last long.
+                self.description_bytes -= call.session_description.take().map_or(0, |text| text.len());
+                self.pending_events.push(Event::CallAnswered { call: id, attempt_number, set_up_delay });
+                let connection = call.connection;
+                return self.commands.push(Command::Answer { connection, tag, session_description });
+            }
+            if matches!(&call.state, CallState::Answered { switch: answering, .. } if *answering == switch) {
                 // A repeated answer.
-                CallState::Answered { switch: answering, .. } if *answering == switch => return,
-                _ => {}
+                return;
             }
         }
         // An answer that crossed the release of its attempt: without another release the call would stay up
@@ -534,26 +560,26 @@
             return;
         };
         let Some(call) = self.calls.get_mut(&id) else { return };
+        if call.attempt_at(switch).is_some()
+            && let Some(attempt) = call.take_attempt(&mut self.timers)
+        {
+            let outcome = match release.cause {
+                cause::NO_CIRCUIT => Outcome::Congested,
+                cause::TIMER_EXPIRY => Outcome::NotSent,
+                cause::TEMPORARY_FAILURE => Outcome::Reset,
+                _ => Outcome::Failed,
+            };
+            return self.pending_events.push(Event::AttemptEnded(AttemptEnd {
+                call: id,
+                attempt_number: attempt.number,
+                switch,
+                outcome,
+                reason: release.reason,
+                call_closed: false,
+                report: release.report,
+            }));
+        }
         match &call.state {
-            CallState::Unanswered(Some(attempt)) if attempt.switch == switch => {
-                let outcome = match release.cause {
-                    cause::NO_CIRCUIT => Outcome::Congested,
-                    cause::TIMER_EXPIRY => Outcome::NotSent,
-                    cause::TEMPORARY_FAILURE => Outcome::Reset,
-                    _ => Outcome::Failed,
-                };
-                let number = attempt.number;
-                call.state = CallState::Unanswered(None);
-                self.pending_events.push(Event::AttemptEnded(AttemptEnd {
-                    call: id,
-                    attempt_number: number,
-                    switch,
-                    outcome,
-                    reason: release.reason,
-                    call_closed: false,
-                    report: release.report,
-                }));
-            }
             CallState::Answered { switch: answering, .. } if *answering == switch => {
                 let outcome =
                     if release.cause == cause::NORMAL_CLEARING { Outcome::Completed } else { Outcome::Reset };
@@ -586,6 +612,7 @@
     /// Takes the answer to a probe, or its time-out.
     pub fn handle_probe_result(&mut self, now: Micros, tag: Tag, passed: bool, report: LoadReport) {
         if let Some(probe) = self.probes.remove(&tag) {
+            self.timers.cancel(probe.timer);
             self.pending_events.push(Event::SwitchStatus {
                 switch: probe.switch,
                 answered: passed,
@@ -616,11 +643,10 @@
     fn end_attempts(&mut self, switch: SwitchId, outcome: Outcome, selected: impl Fn(&Call) -> bool) {
         let mut ended = Vec::new();
         for (id, call) in self.calls.iter_mut().filter(|(_, call)| selected(call)) {
-            if let CallState::Unanswered(Some(attempt)) = &call.state
-                && attempt.switch == switch
+            if call.attempt_at(switch).is_some()
+                && let Some(attempt) = call.take_attempt(&mut self.timers)
             {
                 ended.push((*id, attempt.number));
-                call.state = CallState::Unanswered(None);
             }
         }
         for (id, attempt) in ended {
@@ -686,17 +712,12 @@
     /// Handles an expired timer of call control; those of the network code are ignored.
     pub fn handle_timer(&mut self, now: Micros, event: TimerEvent) {
         match event {
-            TimerEvent::ControllerTimer { token } => self.pending_events.push(Event::Timer(token)),
-            TimerEvent::AttemptTimeout { call: id, attempt: number } => {
-                let Some(call) = self.calls.get_mut(&id) else { return };
-                let CallState::Unanswered(Some(attempt)) = &call.state else { return };
-                if attempt.number == number {
-                    let tag = call.tag;
-                    let switch = attempt.switch;
-                    call.state = CallState::Unanswered(None);
-                    self.release_at_switch(tag, switch);
-                    self.push_attempt_end(id, number, switch, Outcome::TimedOut, false);
-                }
+            TimerEvent::ControllerTimer { token } => {
+                self.controller_timers.remove(&token);
+                self.pending_events.push(Event::Timer(token));
+            }
+            TimerEvent::AttemptTimeout { call, attempt } => {
+                self.abandon_attempt(call, attempt, Outcome::TimedOut);
             }
             TimerEvent::ProbeTimeout(tag) => self.handle_probe_result(now, tag, false, LoadReport::default()),
             TimerEvent::SwitchConnection(_)
@@ -742,35 +763,45 @@
                     self.reject_call(now, call, cause::CONGESTION, back_off);
                 }
                 Action::Fail(call) => self.reject_call(now, call, cause::TEMPORARY_FAILURE, 0),
-                Action::Cancel { call: id, attempt_number: number } => {
-                    let Some(call) = self.calls.get_mut(&id) else { continue };
-                    let CallState::Unanswered(Some(attempt)) = &call.state else { continue };
-                    if attempt.number == number {
-                        let tag = call.tag;
-                        let switch = attempt.switch;
-                        call.state = CallState::Unanswered(None);
-                        self.release_at_switch(tag, switch);
-                        self.push_attempt_end(id, number, switch, Outcome::Cancelled, false);
-                    }
+                Action::Cancel { call, attempt_number } => {
+                    self.abandon_attempt(call, attempt_number, Outcome::Cancelled);
                 }
                 Action::Probe(switch) => {
                     self.last_probe_tag = self.last_probe_tag.wrapping_add(1);
                     let tag = self.last_probe_tag;
-                    self.probes.insert(tag, Probe { switch, sent_at: now });
-                    self.timers.push(now + PROBE_TIMEOUT, TimerEvent::ProbeTimeout(tag));
+                    let timer = self.timers.push(now + PROBE_TIMEOUT, TimerEvent::ProbeTimeout(tag));
+                    self.probes.insert(tag, Probe { switch, sent_at: now, timer });
                     self.commands.push(Command::Probe { switch, tag });
                 }
                 // The control feed sends changes to the switch list without being asked.
                 Action::Subscribe => {}
                 Action::SetTimer { after, token } => {
+                    self.cancel_controller_timer(token);
                     let deadline = now.saturating_add(after.max(0));
-                    self.timers.push(deadline, TimerEvent::ControllerTimer { token });
+                    let timer = self.timers.push(deadline, TimerEvent::ControllerTimer { token });
+                    self.controller_timers.insert(token, timer);
                 }
+                Action::CancelTimer { token } => self.cancel_controller_timer(token),
                 Action::Log(line) => self.commands.push(Command::Log(line)),
             }
         }
     }
 
+    fn cancel_controller_timer(&mut self, token: u64) {
+        if let Some(timer) = self.controller_timers.remove(&token) {
+            self.timers.cancel(timer);
+        }
+    }
+
+    /// Ends an attempt that is still in progress, releases it at its switch and tells the controller.
+    fn abandon_attempt(&mut self, id: CallId, number: u32, outcome: Outcome) {
+        let Some(call) = self.calls.get_mut(&id).filter(|call| call.is_attempting(number)) else { return };
+        let Some(attempt) = call.take_attempt(&mut self.timers) else { return };
+        let tag = call.tag;
+        self.release_at_switch(tag, attempt.switch);
+        self.push_attempt_end(id, number, attempt.switch, outcome, false);
+    }
+
     fn send_attempt(&mut self, now: Micros, id: CallId, switch: SwitchId, timeout: Micros) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let number = call.next_attempt;
@@ -780,8 +811,9 @@
             // decided before it knew of the attempt or the answer.
             return self.push_attempt_end(id, number, switch, Outcome::NotSent, true);
         }
-        call.state = CallState::Unanswered(Some(Attempt { number, switch, sent_at: now }));
         let deadline = now.saturating_add(timeout).min(call.caller_deadline);
+        let timer = self.timers.push(deadline, TimerEvent::AttemptTimeout { call: id, attempt: number });
+        call.state = CallState::Unanswered(Some(Attempt { number, switch, sent_at: now, timer }));
         self.commands.push(Command::SetUp {
             switch,
             tag: call.tag,
@@ -790,7 +822,6 @@
             deadline,
             session_description: call.session_description.clone(),
         });
-        self.timers.push(deadline, TimerEvent::AttemptTimeout { call: id, attempt: number });
     }
 
     /// Rejects an unanswered call. A call that has been answered in the meantime is left alone.
@@ -798,8 +829,8 @@
         if !self.calls.get(&id).is_some_and(|call| matches!(call.state, CallState::Unanswered(_))) {
             return;
         }
-        let Some(call) = self.remove_call(now, id) else { return };
-        if let CallState::Unanswered(Some(attempt)) = call.state {
+        let Some(mut call) = self.remove_call(now, id) else { return };
+        if let Some(attempt) = call.take_attempt(&mut self.timers) {
             self.release_at_switch(call.tag, attempt.switch);
         }
         self.commands.push(Command::Reject { connection: call.connection, tag: call.tag, cause, back_off });
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -66,22 +66,32 @@
         panic!("no command within 10 s");
     }
 
-    fn set_up_call(&mut self, tag: Tag, caller_timeout: Micros) -> Vec<Command> {
-        let set_up = SetUp {
+    /// A set-up to exchange 1.
+    fn set_up(&self, tag: Tag) -> SetUp {
+        SetUp {
             tag,
             class: "check".into(),
             called_number: format!("n{tag}"),
-            caller_timeout,
+            caller_timeout: 3000 * MILLISECOND,
             destination: 1,
             circuits: 1.0,
             via_exchange: -1,
             ..SetUp::default()
-        };
+        }
+    }
+
+    /// Passes a set-up to call control and runs the next batch; returns the commands.
+    fn offer(&mut self, set_up: SetUp) -> Vec<Command> {
         self.call_control.handle_set_up(self.now, CALLER, set_up).unwrap();
         self.now += 10 * MILLISECOND;
         self.run_iteration()
     }
 
+    fn set_up_call(&mut self, tag: Tag, caller_timeout: Micros) -> Vec<Command> {
+        let set_up = SetUp { caller_timeout, ..self.set_up(tag) };
+        self.offer(set_up)
+    }
+
     fn set_up_answered_call(&mut self, tag: Tag) {
         let commands = self.set_up_call(tag, 3000 * MILLISECOND);
         assert!(matches!(commands[..], [Command::SetUp { .. }]), "{commands:?}");
@@ -204,19 +214,8 @@
     // Room for one description of 7 bytes, not for two.
     fixture.call_control.limits.max_description_bytes = 10;
     let set_up_with_description = |fixture: &mut Fixture, tag: Tag| {
-        let set_up = SetUp {
-            tag,
-            class: "check".into(),
-            called_number: "n".into(),
-            caller_timeout: 3000 * MILLISECOND,
-            destination: 1,
-            circuits: 1.0,
-            session_description: Some("v=0 s=-".to_string()),
-            ..SetUp::default()
-        };
-        fixture.call_control.handle_set_up(fixture.now, CALLER, set_up).unwrap();
-        fixture.now += 10 * MILLISECOND;
-        fixture.run_iteration()
+        let set_up = SetUp { session_description: Some("v=0 s=-".to_string()), ..fixture.set_up(tag) };
+        fixture.offer(set_up)
     };
     assert!(matches!(set_up_with_description(&mut fixture, 1)[..], [Command::SetUp { tag: 1, .. }]));
     assert!(matches!(set_up_with_description(&mut fixture, 2)[..], [Command::Reject { tag: 2, .. }]));
@@ -242,3 +241,45 @@
         [Event::SwitchStatus { answered: false, round_trip: PROBE_TIMEOUT, .. }]
     ));
 }
+
+/// Guards against timers that outlive their call: 90,000 refused set-ups a second, each with a timer that
+/// ran until its caller's deadline, took the program over its memory limit.
+#[test]
+fn ended_calls_leave_no_timers() {
+    let mut fixture = Fixture::new();
+    let timers_before = fixture.call_control.timers.len();
+    // Refused at once: no switch serves the destination.
+    let refused = SetUp { destination: 99, ..fixture.set_up(1) };
+    assert!(matches!(fixture.offer(refused)[..], [Command::Reject { tag: 1, .. }]));
+    let transit = SetUp { destination: 99, via_exchange: 1, transit: true, ..fixture.set_up(2) };
+    assert!(matches!(fixture.offer(transit)[..], [Command::Reject { tag: 2, .. }]));
+    // Withdrawn, before and after its set-up was sent.
+    let withdrawn = fixture.set_up(3);
+    fixture.call_control.handle_set_up(fixture.now, CALLER, withdrawn).unwrap();
+    fixture.call_control.handle_caller_release(fixture.now, 3);
+    let withdrawn = fixture.set_up(4);
+    assert!(matches!(fixture.offer(withdrawn)[..], [Command::SetUp { tag: 4, .. }]));
+    fixture.call_control.handle_caller_release(fixture.now, 4);
+    // Refused by the switch, and answered.
+    let congested = fixture.set_up(5);
+    fixture.offer(congested);
+    let release = Release {
+        cause: cause::NO_CIRCUIT,
+        reason: EndReason::ProcessorCongested(0),
+        report: LoadReport::default(),
+    };
+    fixture.call_control.handle_switch_release(fixture.now, SWITCH, 5, release);
+    fixture.now += 10 * MILLISECOND;
+    assert!(matches!(fixture.run_iteration()[..], [Command::Reject { tag: 5, .. }]));
+    fixture.set_up_answered_call(6);
+    // Reset, and withdrawn while it waits for the next attempt.
+    let reset = fixture.set_up(7);
+    fixture.offer(reset);
+    fixture.call_control.handle_connection_lost(SWITCH, fixture.now);
+    fixture.now += 10 * MILLISECOND;
+    fixture.run_iteration();
+    fixture.call_control.handle_caller_release(fixture.now, 7);
+    fixture.now += 10 * MILLISECOND;
+    fixture.run_iteration();
+    assert_eq!(fixture.call_control.timers.len(), timers_before);
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -554,12 +554,16 @@
         self.last_event_at = now;
         match event {
             Event::SwitchList(update) => self.on_switch_list(now, update, actions),
-            Event::NewCall(request) => self.on_new_call(now, request, actions),
+            Event::NewCall(request) => {
+                let id = request.id;
+                self.on_new_call(now, request, actions);
+                self.start_deadline_timer(now, id, actions);
+            }
             Event::CallAnswered { call, attempt_number, set_up_delay } => {
                 self.on_call_answered(now, call, attempt_number, set_up_delay, actions);
             }
             Event::AttemptEnded(end) => self.on_attempt_ended(now, end, actions),
-            Event::CallerGone(call) => self.remove_call(call),
+            Event::CallerGone(call) => self.remove_call(call, actions),
             Event::Timer(TIMER_TICK) => self.on_tick(now, actions),
             Event::Timer(TIMER_RESUBSCRIBE) => actions.push(Action::Subscribe),
             Event::Timer(token) => {
@@ -832,9 +836,6 @@
         let destination = request.destination;
         let via_exchange = request.via_exchange;
         let transit = request.transit;
-        let end_at = request.caller_deadline - DEADLINE_MARGIN_BATCHES * self.settings.min_batch_interval;
-        let after = (end_at - now).max(0);
-        actions.push(Action::SetTimer { after, token: timer_token(TIMER_DEADLINE, id) });
         let number_is_busy =
             self.busy_numbers.get(&request.called_number).is_some_and(|number| number.wait_until > now);
         let earlier_try_at = self.unsuccessful_numbers.remove(&request.called_number);
@@ -903,6 +904,15 @@
         }
     }
 
+    /// Starts the timer that ends a call before its caller gives up. A call that was rejected at once has
+    /// none.
+    fn start_deadline_timer(&self, now: Micros, id: CallId, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let margin = DEADLINE_MARGIN_BATCHES * self.settings.min_batch_interval;
+        let after = (call.request.caller_deadline - margin - now).max(0);
+        actions.push(Action::SetTimer { after, token: timer_token(TIMER_DEADLINE, id) });
+    }
+
     /// The value of a call in thousandths, in steps of 50: that of its class, less for a call that is late or
     /// beyond its tenant's quota.
     fn call_value(&self, now: Micros, call: &Call) -> i64 {
@@ -1186,6 +1196,7 @@
         };
         let CallState::Attempting { switch, sent_at, tandem } = call.state else { return };
         call.state = CallState::Answered;
+        actions.push(Action::CancelTimer { token: timer_token(TIMER_DEADLINE, id) });
         let destination = call.request.destination;
         if tandem {
             self.record_second_leg(now, switch, destination, true);
@@ -1215,7 +1226,7 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let CallState::Attempting { switch, sent_at, tandem } = call.state else {
             if end.call_closed {
-                self.remove_call(id);
+                self.remove_call(id, actions);
             }
             return;
         };
@@ -1302,7 +1313,7 @@
             _ => {}
         }
         if end.call_closed {
-            return self.remove_call(id);
+            return self.remove_call(id, actions);
         }
         if !attempt_again || transit {
             return self.reject_or_fail(id, number_is_busy, actions);
@@ -1340,11 +1351,18 @@
         } else {
             actions.push(Action::Fail(id));
         }
-        self.remove_call(id);
+        self.remove_call(id, actions);
     }
 
-    fn remove_call(&mut self, id: CallId) {
+    /// Removes a call and cancels its timers. All calls are removed here.
+    fn remove_call(&mut self, id: CallId, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(&id) else { return };
+        if call.state == CallState::AwaitingRelease {
+            actions.push(Action::CancelTimer { token: timer_token(TIMER_RETRY, id) });
+        }
+        if call.state != CallState::Answered {
+            actions.push(Action::CancelTimer { token: timer_token(TIMER_DEADLINE, id) });
+        }
         if call.state != CallState::Answered && !call.request.transit {
             self.unsuccessful_numbers.insert(call.request.called_number, call.first_tried_at);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -347,13 +347,18 @@
     Probe(SwitchId),
     /// Subscribe to updates of the switch list.
     Subscribe,
-    /// Start a timer.
+    /// Start a timer. It takes the place of a timer with the same token that has not expired.
     SetTimer {
         /// Time until it expires.
         after: Micros,
         /// Token that the [`Event::Timer`] carries.
         token: u64,
     },
+    /// Cancel a timer that is no longer needed. Its [`Event::Timer`] may still come, and is ignored.
+    CancelTimer {
+        /// The token that the timer was started with.
+        token: u64,
+    },
     /// Write a line to the operators' log.
     Log(String),
 }
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -7,6 +7,7 @@
 use crate::call::TimerEvent;
 use crate::clock::Clock;
 use crate::interface::{ExchangeNumber, Health, MILLISECOND, Micros, SECOND, SwitchEntry, SwitchListUpdate};
+use crate::timers::TimerId;
 use calloop::LoopHandle;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -108,7 +109,7 @@
     /// Number of the last known event; the feed is asked for the events after it.
     last_event_number: u64,
     /// When the connection times out or, if there is none, the next attempt is made.
-    timer_deadline: Micros,
+    timer: Option<TimerId>,
     /// Number of the last event before a gap, whose missing events have been requested by a new `SUB`. They
     /// are requested only once; if they are still missing then, they are skipped.
     gap_after: Option<u64>,
@@ -128,7 +129,7 @@
             connection: None,
             subscribed: false,
             last_event_number: 0,
-            timer_deadline: 0,
+            timer: None,
             gap_after: None,
             max_line_bytes,
         }
@@ -221,8 +222,10 @@
     }
 
     fn set_feed_timer(&mut self, deadline: Micros) {
-        self.feed.timer_deadline = deadline;
-        self.call_control.timers.push(deadline, TimerEvent::ControlFeed);
+        let timer = self.call_control.timers.push(deadline, TimerEvent::ControlFeed);
+        if let Some(earlier) = self.feed.timer.replace(timer) {
+            self.call_control.timers.cancel(earlier);
+        }
     }
 
     /// Closes the connection, if there is one, and sets the timer for the next attempt. All connections to
@@ -242,11 +245,6 @@
 
     /// Handles a time-out of the connection, or makes the next attempt to connect.
     pub(super) fn handle_feed_timer(&mut self) {
-        let now = self.clock.now();
-        // The timer may have been set to a later time since.
-        if now < self.feed.timer_deadline {
-            return;
-        }
         match (&self.feed.connection, self.feed.subscribed) {
             (None, _) => self.connect_feed(),
             (Some(_), true) => self.close_feed_connection("silent for too long", 0),
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -19,6 +19,7 @@
 use crate::interface::{
     EndReason, ExchangeNumber, Health, LoadReport, MILLISECOND, Micros, SECOND, SwitchId,
 };
+use crate::timers::TimerId;
 use calloop::LoopHandle;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -139,8 +140,9 @@
     /// When a message was last received from the switch, or a connection to it established. While the
     /// switch has no calls, this is set to the time of each check, since no message is expected.
     silent_since: Micros,
-    /// When the next check of the open connection is due.
-    next_check_at: Micros,
+    /// The timer of the next attempt to connect, its time-out or the next check of the open connection,
+    /// whichever the state of the connection asks for.
+    timer: Option<TimerId>,
     unreachable_since: Option<Micros>,
     /// Messages received on this connection are handled like those on the open one.
     candidate: Option<CandidateConnection>,
@@ -326,7 +328,7 @@
                 pending_releases: vec![],
                 reconnect_delay: MIN_RECONNECT_DELAY,
                 silent_since: now,
-                next_check_at: now,
+                timer: None,
                 unreachable_since: None,
                 candidate: None,
                 replaced: None,
@@ -363,7 +365,9 @@
         }
         self.close_switch_connections(id);
         self.call_control.handle_switch_down(now, id, now);
-        self.switches.by_id.remove(&id);
+        if let Some(timer) = self.switches.by_id.remove(&id).and_then(|switch| switch.timer) {
+            self.call_control.timers.cancel(timer);
+        }
         self.switches.ids_by_name.remove(name);
     }
 
@@ -427,7 +431,7 @@
         }) {
             Ok(connection) => {
                 switch.state = ConnectionState::Connecting { connection, deadline };
-                self.call_control.timers.push(deadline, TimerEvent::SwitchConnection(id));
+                self.set_switch_timer(id, deadline);
             }
             Err(error) => self.handle_connect_failure(id, &error.to_string()),
         }
@@ -456,15 +460,9 @@
         let now = self.clock.now();
         let has_calls = self.call_control.has_calls_at(id);
         let oldest_attempt_sent_at = self.call_control.oldest_attempt_sent_at(id);
+        self.set_switch_timer(id, now + CHECK_INTERVAL);
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let ConnectionState::Open(open) = &switch.state else { return };
-        // Timers cannot be cancelled: without this condition, those of an earlier connection would add to the
-        // checks of this one.
-        if now < switch.next_check_at {
-            return;
-        }
-        switch.next_check_at = now + CHECK_INTERVAL;
-        self.call_control.timers.push(switch.next_check_at, TimerEvent::SwitchConnection(id));
         // A switch that accepts connections and sends nothing must not keep the gatekeeper from being ready.
         switch.initial_state_known |= now >= open.opened_at + SILENCE_TIMEOUT;
         let response_is_overdue =
@@ -654,7 +652,16 @@
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let queued: Vec<Tag> = switch.queued_set_ups.drain(..).map(|set_up| set_up.tag).collect();
         self.call_control.fail_unsent_set_ups(id, &queued);
-        self.call_control.timers.push(reconnect_at, TimerEvent::SwitchConnection(id));
+        self.set_switch_timer(id, reconnect_at);
+    }
+
+    /// Sets the timer of a switch's connection, in the place of the one that was set before.
+    fn set_switch_timer(&mut self, id: SwitchId, deadline: Micros) {
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        let timer = self.call_control.timers.push(deadline, TimerEvent::SwitchConnection(id));
+        if let Some(earlier) = switch.timer.replace(timer) {
+            self.call_control.timers.cancel(earlier);
+        }
     }
 
     /// Handles an expired [`TimerEvent::SwitchConnection`].
@@ -715,14 +722,13 @@
         switch.reconnect_delay = MIN_RECONNECT_DELAY;
         switch.unreachable_since = None;
         switch.silent_since = now;
-        switch.next_check_at = now + CHECK_INTERVAL;
-        self.call_control.timers.push(switch.next_check_at, TimerEvent::SwitchConnection(id));
         let state = std::mem::replace(&mut switch.state, ConnectionState::Closed { reconnect_at: now });
         if let ConnectionState::Connecting { connection, .. } = state {
             switch.state = ConnectionState::Open(OpenConnection::new(connection, now));
         }
         let pending_releases = std::mem::take(&mut switch.pending_releases);
         let queued_set_ups = std::mem::take(&mut switch.queued_set_ups);
+        self.set_switch_timer(id, now + CHECK_INTERVAL);
         for tag in pending_releases {
             self.switches.write_message(id, &release_message(tag));
         }
--- a/src/timers.rs
+++ b/src/timers.rs
@@ -7,16 +7,15 @@
 #[cfg(test)]
 mod tests;
 
-/// Items ordered by deadline; items with the same deadline keep the order in which they were added. There is
-/// no way to cancel an item: its recipient must check whether it still applies.
+/// Items ordered by deadline; items with the same deadline keep the order in which they were added.
 pub struct TimerQueue<T> {
-    queue: BTreeMap<Key, T>,
+    queue: BTreeMap<TimerId, T>,
     last_sequence: u64,
 }
 
-/// The place of an item in the queue. The derived order compares the deadline first.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct Key {
+/// Identifies an item in the queue, by its place there. The derived order compares the deadline first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerId {
     deadline: Micros,
     sequence: u64,
 }
@@ -29,14 +28,21 @@
 
 impl<T> TimerQueue<T> {
     /// Adds an item that is due at `deadline`.
-    pub fn push(&mut self, deadline: Micros, item: T) {
+    pub fn push(&mut self, deadline: Micros, item: T) -> TimerId {
         self.last_sequence += 1;
-        self.queue.insert(Key { deadline, sequence: self.last_sequence }, item);
+        let id = TimerId { deadline, sequence: self.last_sequence };
+        self.queue.insert(id, item);
+        id
+    }
+
+    /// Removes an item. An item that has expired already is left alone: ids are not used again.
+    pub fn cancel(&mut self, id: TimerId) {
+        self.queue.remove(&id);
     }
 
     /// The earliest deadline in the queue.
     pub fn next_deadline(&self) -> Option<Micros> {
-        self.queue.first_key_value().map(|(key, _)| key.deadline)
+        self.queue.first_key_value().map(|(id, _)| id.deadline)
     }
 
     /// Removes and returns the first item if its deadline is not after `now`.
@@ -44,4 +50,14 @@
         let first = self.queue.first_entry().filter(|entry| entry.key().deadline <= now)?;
         Some(first.remove())
     }
+
+    /// The number of items in the queue.
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns true if there are no items in the queue.
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -428,6 +428,8 @@
             Action::SetTimer { after, token } => {
                 writeln!(reply, "WAKE_AT\t{instance_id}\t{}\t{token}", seconds(*after))
             }
+            // The simulator's timers cannot be cancelled.
+            Action::CancelTimer { .. } => Ok(()),
             Action::Log(line) => writeln!(reply, "TRACE\t{instance_id}\t{line}"),
         };
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -8,6 +8,10 @@
 //!     PARTY refuses     closes its listener, so that connections to it are refused
 //!     PARTY > BYTES     sends bytes       PARTY < BYTES     receives exactly these bytes
 //!     PARTY < end       its connection has been closed
+//!     PARTY floods COUNT BYTES   a caller sends these bytes COUNT times and reads one message in reply each
+//!                       time; at most 100 are open. Eight bytes ee stand for a number that counts up, and so
+//!                       do 16 characters # (as hex digits)
+//!     memory < MB       the program has never held more memory than this
 //!     signal TERM       sends a signal    exits 0           waits for the program to exit with this code
 //!     log TEXT          waits for a line with this text in the program's log
 //!     with A => B       on the first line of a file: replaces A by B in the configuration
@@ -38,6 +42,13 @@
 /// program is.
 const HANG_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Messages of a flood that are sent before their replies are read.
+const FLOOD_WINDOW: u64 = 100;
+
+/// In a message of a flood, what its number takes the place of.
+const FLOOD_NUMBER_BYTES: [u8; 8] = [0xee; 8];
+const FLOOD_NUMBER_DIGITS: [u8; 16] = [b'#'; 16];
+
 /// Longer lines of an exchange are printed only up to this length.
 const MAX_PRINTED_BYTES: usize = 120;
 
@@ -117,6 +128,15 @@
     }
 }
 
+/// Replaces all occurrences of `placeholder`; both have the same length.
+fn replace_all(bytes: &mut [u8], placeholder: &[u8], replacement: &[u8]) {
+    for start in 0..bytes.len() {
+        if bytes[start..].starts_with(placeholder) {
+            bytes[start..start + placeholder.len()].copy_from_slice(replacement);
+        }
+    }
+}
+
 impl Runner {
     /// Starts the program; `replacement` is a text in its configuration and the text to put in its place.
     fn start(replacement: Option<(&str, &str)>) -> Self {
@@ -210,6 +230,13 @@
                 SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
             }
             (_, "refuses") => drop(self.listeners.remove(listener_name).expect("a listener")),
+            (_, "floods") => self.flood(party, argument),
+            ("memory", "<") => {
+                let limit_mb: f64 = argument.trim_end_matches(" MB").parse().unwrap();
+                let held_mb = self.most_memory_mb();
+                println!("the program held at most {held_mb:.1} MB");
+                assert!(held_mb < limit_mb, "the program held {held_mb:.1} MB");
+            }
             (_, ">") => {
                 let bytes = self.encode(party, argument);
                 self.connections[party].get_ref().write_all(&bytes).unwrap();
@@ -238,6 +265,37 @@
         }
     }
 
+    fn flood(&mut self, party: &str, argument: &str) {
+        let (count, notation) = argument.split_once(' ').expect("a count and bytes");
+        let count: u64 = count.parse().unwrap();
+        let template = self.encode(party, notation);
+        let number_of = |index: u64| 0x00f1_00d0_0000_0000 + index;
+        for window_start in (0..count).step_by(FLOOD_WINDOW as usize) {
+            let window = window_start..count.min(window_start + FLOOD_WINDOW);
+            let mut bytes = Vec::new();
+            for number in window.clone().map(number_of) {
+                let mut message = template.clone();
+                replace_all(&mut message, &FLOOD_NUMBER_BYTES, &number.to_be_bytes());
+                replace_all(&mut message, &FLOOD_NUMBER_DIGITS, format!("{number:016x}").as_bytes());
+                bytes.extend(message);
+            }
+            let connection = self.connection(party);
+            connection.get_ref().write_all(&bytes).unwrap();
+            for _ in window {
+                let mut length = [0; 2];
+                connection.read_exact(&mut length).unwrap();
+                connection.read_exact(&mut vec![0; u16::from_be_bytes(length).into()]).unwrap();
+            }
+        }
+    }
+
+    /// The most memory that the program has held, by the system's account of it.
+    fn most_memory_mb(&self) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.program.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("VmHWM");
+        line.trim().trim_end_matches(" kB").parse::<f64>().unwrap() * 1024.0 / 1e6
+    }
+
     fn connection(&mut self, party: &str) -> &mut BufReader<TcpStream> {
         self.connections.get_mut(party).expect("an open connection")
     }
@@ -301,6 +359,7 @@
     duplicate_and_unknown_ids
     feed
     flood
+    flood_of_refused_set_ups
     group_full_takes_the_tandem
     idle_close
     long_and_split_messages
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -130,7 +130,8 @@
                 }
                 Action::Probe(_) => assert!(self.settings.may_probe),
                 Action::Subscribe => assert!(self.settings.must_subscribe),
-                Action::Log(_) => {}
+                // As in the simulator, whose timers cannot be cancelled, they all expire.
+                Action::CancelTimer { .. } | Action::Log(_) => {}
             }
         }
     }
