Bound the called numbers that are kept of refused calls

Cause: the controller keeps the number of each call that was not answered for ten seconds, to know a redial, and that of a busy number for up to sixteen. Both tables were bounded in time only, and took the whole number, up to 64 bytes. 90,000 refused set-ups a second made 900,000 entries.

Change: a number is kept as a hash keyed with the instance's seed, 8 bytes however long it is, and both tables are a `FairMap` with a limit of a 32nd of the configured memory each (11,700 numbers at 48 MB). A limit alone would let the flood displace the numbers of honest callers within 0.13 s, so that their redials would count as new or late calls. `FairMap` takes the place of the oldest entry of the source with the most entries; connections on which no call was answered yet leave half of the map to the others.

--- a/src/call.rs
+++ b/src/call.rs
@@ -5,8 +5,8 @@
 
 use crate::control::Controller;
 use crate::interface::{
-    Action, AttemptEnd, CallId, EndReason, Event, ExchangeNumber, LoadReport, MILLISECOND, Micros, NewCall,
-    Outcome, SECOND, Settings, SwitchId, SwitchListUpdate,
+    Action, AttemptEnd, CallId, CallSource, EndReason, Event, ExchangeNumber, LoadReport, MILLISECOND,
+    Micros, NewCall, Outcome, SECOND, Settings, SwitchId, SwitchListUpdate,
 };
 use crate::settings::IndexedNames;
 use crate::timers::{TimerId, TimerQueue};
@@ -39,6 +39,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(pub u64);
 
+/// A caller, as call control knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    /// Its connection.
+    pub connection: ConnectionId,
+    /// A call that was set up on this connection has been answered.
+    pub is_trusted: bool,
+}
+
 /// The id of a call, a probe or a health check on the wire; a call has the same one towards its caller and
 /// its switch. The controller has call ids of its own, and only [`CallControl`] translates between the two.
 pub type Tag = u64;
@@ -381,9 +390,8 @@
     ///
     /// # Errors
     /// The set-up was not accepted, and the caller has not been told.
-    pub fn handle_set_up(
-        &mut self, now: Micros, connection: ConnectionId, set_up: SetUp,
-    ) -> Result<(), SetUpError> {
+    pub fn handle_set_up(&mut self, now: Micros, caller: Caller, set_up: SetUp) -> Result<(), SetUpError> {
+        let connection = caller.connection;
         // Only the first set-up with a tag is answered: the caller could not tell two answers apart.
         if self.call_ids.contains_key(&set_up.tag) {
             return Err(SetUpError::TagInUse);
@@ -421,6 +429,7 @@
             id,
             class_index,
             tenant_index: None,
+            source: CallSource { connection: connection.0, is_trusted: caller.is_trusted },
             called_number: set_up.called_number.clone(),
             caller_deadline,
             destination: set_up.destination,
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -5,6 +5,7 @@
 use crate::settings::{build_settings, flatten_json};
 
 const CALLER: ConnectionId = ConnectionId(1);
+const TRUSTED_CALLER: Caller = Caller { connection: CALLER, is_trusted: true };
 const SWITCH: SwitchId = SwitchId(11);
 
 /// Call control of exchange 0 that knows a switch of exchange 1 with free circuits, at a time of 10 s.
@@ -82,7 +83,7 @@
 
     /// Passes a set-up to call control and runs the next batch; returns the commands.
     fn offer(&mut self, set_up: SetUp) -> Vec<Command> {
-        self.call_control.handle_set_up(self.now, CALLER, set_up).unwrap();
+        self.call_control.handle_set_up(self.now, TRUSTED_CALLER, set_up).unwrap();
         self.now += 10 * MILLISECOND;
         self.run_iteration()
     }
@@ -255,7 +256,7 @@
     assert!(matches!(fixture.offer(transit)[..], [Command::Reject { tag: 2, .. }]));
     // Withdrawn, before and after its set-up was sent.
     let withdrawn = fixture.set_up(3);
-    fixture.call_control.handle_set_up(fixture.now, CALLER, withdrawn).unwrap();
+    fixture.call_control.handle_set_up(fixture.now, TRUSTED_CALLER, withdrawn).unwrap();
     fixture.call_control.handle_caller_release(fixture.now, 3);
     let withdrawn = fixture.set_up(4);
     assert!(matches!(fixture.offer(withdrawn)[..], [Command::SetUp { tag: 4, .. }]));
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,6 +12,7 @@
 //! has room beyond the trunk reservation. See docs/design.md for the source of the method and for the
 //! exceptions.
 
+use crate::fair_map::FairMap;
 use crate::interface::{
     Action, AttemptEnd, CallId, DeduplicationScope, EndReason, Event, ExchangeNumber, Health, LoadReport,
     MILLISECOND, Micros, NewCall, Outcome, RepeatPolicy, SECOND, Settings, SwitchEntry, SwitchId,
@@ -20,6 +21,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 #[cfg(test)]
 mod tests;
@@ -471,6 +473,10 @@
     wait: Micros,
 }
 
+/// A hash of a called number: it takes the same memory however long the number is.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct NumberKey(u64);
+
 /// A route chosen for a call.
 struct Route {
     switch: SwitchId,
@@ -495,9 +501,11 @@
     /// Groups of circuits between other exchanges, by [`group_key`].
     remote_groups: BTreeMap<(ExchangeNumber, ExchangeNumber), RemoteGroup>,
     exchanges: BTreeMap<ExchangeNumber, Exchange>,
-    busy_numbers: BTreeMap<String, BusyNumber>,
+    busy_numbers: FairMap<NumberKey, BusyNumber>,
     /// Numbers of calls that were not answered, and when their callers first tried.
-    unsuccessful_numbers: BTreeMap<String, Micros>,
+    unsuccessful_numbers: FairMap<NumberKey, Micros>,
+    /// Makes the hashes of called numbers differ between instances.
+    number_hash_seed: u64,
     /// Calls offered, by value in thousandths, the lowest first.
     offered_by_value: BTreeMap<i64, AverageRate>,
     /// Calls of each tenant for which no earlier try is known.
@@ -523,6 +531,7 @@
         // sample lifetime and the highest number of required samples.
         own_processor.adapt_to_traffic(1e3);
         let tenant_calls = settings.tenants.iter().map(|_| AverageRate::default()).collect();
+        let history_limits = settings.history_limits;
         Controller {
             settings,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -533,8 +542,9 @@
             started_at: now,
             remote_groups: BTreeMap::new(),
             exchanges: BTreeMap::new(),
-            busy_numbers: BTreeMap::new(),
-            unsuccessful_numbers: BTreeMap::new(),
+            busy_numbers: FairMap::new(history_limits.called_numbers),
+            unsuccessful_numbers: FairMap::new(history_limits.called_numbers),
+            number_hash_seed: seed,
             offered_by_value: BTreeMap::new(),
             tenant_calls,
             second_leg_attempts: AverageRate::default(),
@@ -581,6 +591,13 @@
         }
     }
 
+    fn number_key(&self, called_number: &str) -> NumberKey {
+        let mut hasher = DefaultHasher::new();
+        self.number_hash_seed.hash(&mut hasher);
+        called_number.hash(&mut hasher);
+        NumberKey(hasher.finish())
+    }
+
     /// A random number in [0, 1) with 53 random bits, the precision of an `f64`.
     fn random_unit(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
@@ -801,8 +818,8 @@
         }
         if now % SECOND < CONTROL_PERIOD {
             // Once a second, remove the state that has expired.
-            self.busy_numbers.retain(|_, number| number.wait_until + MAX_BUSY_NUMBER_WAIT > now);
-            self.unsuccessful_numbers.retain(|_, first_tried_at| *first_tried_at + REDIAL_WINDOW > now);
+            self.busy_numbers.retain(|number| number.wait_until + MAX_BUSY_NUMBER_WAIT > now);
+            self.unsuccessful_numbers.retain(|first_tried_at| *first_tried_at + REDIAL_WINDOW > now);
             self.remote_groups.retain(|_, group| group.valid_until + MAX_REMOTE_GROUP_VALIDITY > now);
             self.switches.retain(|_, switch| {
                 let left_long_ago =
@@ -836,9 +853,9 @@
         let destination = request.destination;
         let via_exchange = request.via_exchange;
         let transit = request.transit;
-        let number_is_busy =
-            self.busy_numbers.get(&request.called_number).is_some_and(|number| number.wait_until > now);
-        let earlier_try_at = self.unsuccessful_numbers.remove(&request.called_number);
+        let number_key = self.number_key(&request.called_number);
+        let number_is_busy = self.busy_numbers.get(&number_key).is_some_and(|number| number.wait_until > now);
+        let earlier_try_at = self.unsuccessful_numbers.remove(&number_key);
         let recent_try_at = earlier_try_at.filter(|tried_at| !transit && now < tried_at + REDIAL_WINDOW);
         let first_tried_at = recent_try_at.unwrap_or(now);
         let no_earlier_try_known = first_tried_at == now;
@@ -1243,9 +1260,10 @@
         }
         let set_up_target = self.settings.classes[call.request.class_index].set_up_target;
         let time_to_target = call.first_tried_at + set_up_target - now;
-        let called_number = call.request.called_number.clone();
+        let source = call.request.source;
         let destination = call.request.destination;
         let transit = call.request.transit;
+        let number_key = self.number_key(&self.calls[&id].request.called_number);
         self.remove_pending(id, switch);
         if matches!(outcome, Outcome::Completed | Outcome::Failed | Outcome::Congested | Outcome::Cancelled) {
             self.on_response(switch, actions);
@@ -1297,9 +1315,9 @@
                 attempt_again = self.calls[&id].attempt_count < 2;
             }
             (Outcome::Failed, EndReason::SubscriberBusy) => {
-                let known = self.busy_numbers.get(&called_number);
+                let known = self.busy_numbers.get(&number_key);
                 let wait = known.map_or(MIN_BUSY_NUMBER_WAIT, |b| (b.wait * 2).min(MAX_BUSY_NUMBER_WAIT));
-                self.busy_numbers.insert(called_number, BusyNumber { wait_until: now + wait, wait });
+                self.busy_numbers.insert(number_key, BusyNumber { wait_until: now + wait, wait }, source);
                 number_is_busy = true;
             }
             // A processor may fail most set-ups immediately. Where answers are quick, another attempt costs
@@ -1364,7 +1382,8 @@
             actions.push(Action::CancelTimer { token: timer_token(TIMER_DEADLINE, id) });
         }
         if call.state != CallState::Answered && !call.request.transit {
-            self.unsuccessful_numbers.insert(call.request.called_number, call.first_tried_at);
+            let number_key = self.number_key(&call.request.called_number);
+            self.unsuccessful_numbers.insert(number_key, call.first_tried_at, call.request.source);
         }
         match call.state {
             CallState::Attempting { switch, .. } => self.remove_pending(id, switch),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -126,6 +126,22 @@
     pub cold_overload_duration: Micros,
     /// Far processors report their load.
     pub load_reports_enabled: bool,
+    /// Limits on what the controller keeps of calls that have ended.
+    pub history_limits: HistoryLimits,
+}
+
+/// Limits on what the controller keeps of calls that have ended.
+#[derive(Clone, Copy, Debug)]
+pub struct HistoryLimits {
+    /// Most called numbers whose last call was not answered, and most that were found busy.
+    pub called_numbers: usize,
+}
+
+impl Default for HistoryLimits {
+    /// The limits where no memory limit is configured.
+    fn default() -> Self {
+        HistoryLimits { called_numbers: 1 << 16 }
+    }
 }
 
 /// State of a switch in the switch list.
@@ -228,6 +244,20 @@
     SubscriberBusy,
 }
 
+/// Where a call comes from. Limits on what is kept of calls are shared out between the sources.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallSource {
+    /// A number that the calls of a caller's connection have in common.
+    pub connection: u64,
+    /// A call of this source has been answered.
+    pub is_trusted: bool,
+}
+
+impl CallSource {
+    /// The source of all calls where they are not told apart.
+    pub const SINGLE: CallSource = CallSource { connection: 0, is_trusted: true };
+}
+
 /// A call handed to the controller for a decision.
 #[derive(Clone, Debug)]
 pub struct NewCall {
@@ -237,6 +267,8 @@
     pub class_index: usize,
     /// Index of its tenant.
     pub tenant_index: Option<usize>,
+    /// Where it comes from.
+    pub source: CallSource,
     /// The subscriber's number that was called.
     pub called_number: String,
     /// When the caller gives up.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod clock;
 pub mod control;
+pub mod fair_map;
 pub mod interface;
 pub mod net;
 pub mod settings;
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -4,7 +4,7 @@
 use super::binary::{self, Message, message_type, parameter_code};
 use super::link::{Connection, ReadStatus};
 use super::{Gatekeeper, PendingRead, log};
-use crate::call::{ConnectionId, SetUp, SetUpError, Tag, TimerEvent, cause};
+use crate::call::{Caller, ConnectionId, SetUp, SetUpError, Tag, TimerEvent, cause};
 use crate::interface::{ExchangeNumber, MILLISECOND, Micros, SECOND};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
@@ -506,7 +506,10 @@
                 self.call_control.reject_for_congestion(id, tag);
                 return true;
             }
-            Some(set_up) => self.call_control.handle_set_up(now, id, set_up),
+            Some(set_up) => {
+                let caller = Caller { connection: id, is_trusted: !no_answered_call };
+                self.call_control.handle_set_up(now, caller, set_up)
+            }
             None => Err(SetUpError::Invalid),
         };
         match result {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::call::{CallControl, CallLimits, Command, ConnectionId, TimerEvent};
 use crate::clock::Clock;
-use crate::interface::{MILLISECOND, Micros, SECOND, Settings, SwitchId};
+use crate::interface::{HistoryLimits, MILLISECOND, Micros, SECOND, Settings, SwitchId};
 use crate::settings::{self, IndexedNames};
 use callers::Callers;
 use calloop::signals::{Signal, Signals};
@@ -60,6 +60,9 @@
 /// Memory that a call takes in call control and the controller, approximately.
 const BYTES_PER_CALL: usize = 1024;
 
+/// Memory that the controller takes for a called number that it keeps, approximately.
+const BYTES_PER_CALLED_NUMBER: usize = 128;
+
 /// Writes a line to the log, which is standard error. A failure to write is ignored, so that calls are served
 /// even without a log.
 pub fn log(line: &str) {
@@ -104,6 +107,8 @@
     max_calls: usize,
     /// Total bytes of the session descriptions that unanswered calls hold.
     max_description_bytes: usize,
+    /// What the controller keeps of calls that have ended. At these limits it takes a sixteenth of the memory.
+    history: HistoryLimits,
 }
 
 impl ResourceLimits {
@@ -117,6 +122,7 @@
             max_peer_buffer_bytes: memory_bytes / 64,
             max_calls: eighth_of_memory / BYTES_PER_CALL,
             max_description_bytes: eighth_of_memory,
+            history: HistoryLimits { called_numbers: memory_bytes / 32 / BYTES_PER_CALLED_NUMBER },
         }
     }
 }
@@ -169,6 +175,7 @@
         let memory_mb =
             file.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).clamp(MIN_MEMORY_MB, MAX_MEMORY_MB);
         let resource_limits = ResourceLimits::new(max_sockets, (memory_mb * 1e6) as usize);
+        settings.history_limits = resource_limits.history;
         let parse_address = |key: &str, text: &str| {
             text.parse::<SocketAddr>()
                 .map_err(|_| format!("{key}: {text:?} is not an IP address with a port"))
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,9 @@
 //! Reads the controller's [`Settings`] from flat key-value pairs. The adapter receives these pairs directly;
 //! the nested JSON of the configuration file is first flattened to the same paths. Unknown keys are ignored.
 
-use crate::interface::{CallClass, DeduplicationScope, LoadReport, Micros, RepeatPolicy, Settings, Tenant};
+use crate::interface::{
+    CallClass, DeduplicationScope, HistoryLimits, LoadReport, Micros, RepeatPolicy, Settings, Tenant,
+};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -256,6 +258,7 @@
         cold_overload_factor: reader.non_negative("rules.tipMultiple")?,
         cold_overload_duration: reader.seconds("rules.fallS")?,
         load_reports_enabled: reader.text("reporting.via")? == "answers",
+        history_limits: HistoryLimits::default(),
     };
     Ok((settings, names))
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,8 +6,8 @@
 
 use crate::control::Controller;
 use crate::interface::{
-    Action, AttemptEnd, CallId, EndReason, Event, Health, LoadReport, Micros, NewCall, Outcome, SwitchEntry,
-    SwitchId, SwitchListUpdate,
+    Action, AttemptEnd, CallId, CallSource, EndReason, Event, Health, LoadReport, Micros, NewCall, Outcome,
+    SwitchEntry, SwitchId, SwitchListUpdate,
 };
 use crate::settings::{self, IndexedNames, seconds_to_micros};
 use std::collections::BTreeMap;
@@ -320,6 +320,7 @@
                 id,
                 class_index,
                 tenant_index,
+                source: CallSource::SINGLE,
                 called_number,
                 caller_deadline,
                 destination,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -157,6 +157,7 @@
         cold_overload_factor: 2.0,
         cold_overload_duration: secs(2),
         load_reports_enabled: false,
+        history_limits: HistoryLimits::default(),
     }
 }
 
@@ -258,40 +259,45 @@
         }
     }
 
-    /// Offers a call whose caller gives up after 3 s. Returns the switches that it was sent to at once.
-    fn offer_call(
-        &mut self, id: u64, destination: ExchangeNumber, called_number: &str, transit: bool,
-    ) -> Vec<u64> {
-        let deadline = self.now + secs(3);
-        self.deadlines.entry(id).or_insert(deadline);
-        self.handle(Event::NewCall(NewCall {
+    /// A call whose caller gives up after 3 s.
+    pub fn call(&self, id: u64, destination: ExchangeNumber, called_number: &str) -> NewCall {
+        NewCall {
             id: CallId(id),
             class_index: 0,
             tenant_index: None,
+            source: CallSource::SINGLE,
             called_number: called_number.into(),
-            caller_deadline: deadline,
+            caller_deadline: self.now + secs(3),
             destination,
             circuits: 1.0,
-            via_exchange: if transit { 2 } else { -1 },
+            via_exchange: -1,
             redial: false,
-            transit,
-        }));
+            transit: false,
+        }
+    }
+
+    /// Offers a call. Returns the switches that it was sent to at once.
+    pub fn offer_call(&mut self, call: NewCall) -> Vec<u64> {
+        let id = call.id.0;
+        self.deadlines.entry(id).or_insert(call.caller_deadline);
+        self.handle(Event::NewCall(call));
         self.switches_tried(id)
     }
 
     /// Offers a call to a number that no other call of the test has.
     pub fn new_call(&mut self, id: u64, destination: ExchangeNumber) -> Vec<u64> {
-        self.offer_call(id, destination, &format!("n{id}"), false)
+        self.new_call_to(id, destination, &format!("n{id}"))
     }
 
     /// Offers a call to the given number.
     pub fn new_call_to(&mut self, id: u64, destination: ExchangeNumber, called_number: &str) -> Vec<u64> {
-        self.offer_call(id, destination, called_number, false)
+        self.offer_call(self.call(id, destination, called_number))
     }
 
     /// Offers a transit call that comes from exchange 2.
     pub fn new_transit_call(&mut self, id: u64, destination: ExchangeNumber) {
-        self.offer_call(id, destination, &format!("n{id}"), true);
+        let call = self.call(id, destination, &format!("n{id}"));
+        self.offer_call(NewCall { via_exchange: 2, transit: true, ..call });
     }
 
     /// Reports how many circuits of the group to a switch are free. The group has 30 circuits.
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -359,6 +359,7 @@
     duplicate_and_unknown_ids
     feed
     flood
+    flood_of_called_numbers
     flood_of_refused_set_ups
     group_full_takes_the_tandem
     idle_close
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -528,6 +528,33 @@
     assert_eq!(timeout(3), Some(millis(750)));
 }
 
+/// Guards against a table of called numbers that grows with each refused call, and against a limit on it
+/// that lets a flood of refused calls displace the numbers of honest callers.
+#[test]
+fn a_redial_is_known_beside_a_flood_of_refused_calls() {
+    let mut harness =
+        Harness::new(|settings| settings.history_limits = HistoryLimits { called_numbers: 100 });
+    harness.run_steady_traffic(100..130, millis(60), millis(100));
+    harness.report_free_circuits(101, 0.0);
+    harness.report_free_circuits(102, 0.0);
+    let honest = CallSource { connection: 1, is_trusted: true };
+    let newcomer = CallSource { connection: 2, is_trusted: false };
+    assert!(harness.offer_call(NewCall { source: honest, ..harness.call(1, 1, "n1") }).is_empty());
+    assert!(harness.offer_call(NewCall { source: newcomer, ..harness.call(2, 1, "n2") }).is_empty());
+    for id in 1000..20_000 {
+        let source = CallSource { connection: 3 + id % 6, is_trusted: false };
+        let refused = harness.call(id, if id % 2 == 0 { 1 } else { 99 }, &format!("{id:064}"));
+        assert!(harness.offer_call(NewCall { source, ..refused }).is_empty());
+    }
+    harness.advance(millis(1000));
+    harness.report_free_circuits(101, 10.0);
+    for (id, number, timeout) in [(3, "n1", 500), (4, "n2", 500), (5, "other", 750)] {
+        harness.new_call_to(id, 1, number);
+        let pending = harness.pending.iter().find(|pending| pending.call == id).unwrap();
+        assert_eq!(pending.times_out_at - harness.now, millis(timeout), "{number}");
+    }
+}
+
 #[test]
 fn set_ups_sent_before_a_stall_do_not_make_their_processor_suspected() {
     // After a stall of the gatekeeper's own process all that came in meanwhile looks late, and every far
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -198,6 +198,7 @@
                 id: CallId(new_id),
                 class_index: 0,
                 tenant_index: None,
+                source: CallSource::SINGLE,
                 called_number: format!("n{}", self.rng.next_u32() % 9),
                 caller_deadline: deadline,
                 destination,
