Bound the groups of other exchanges that callers may name

A caller that marks its set-ups as transit calls, each with another pair of exchanges, takes the gatekeeper over its memory limit.

Cause: for each transit set-up the controller records that the group from its origin to its destination is full, and for each advised tandem that the group has room, under any two numbers up to a million, and keeps the entry for 72 s. Whoever names a pair that exists also takes the tandem route over it from all other callers for 8 to 64 s.

Change: `remote_groups` is a `FairMap` with a limit of a 32nd of the memory (7,800 groups at 48 MB). What a set-up says of a group counts only between exchanges that the switch list names, and only from a caller that has had a call answered on its connection, as other gatekeepers have. What the own attempts show counts as before.

Evidence: tests/exchanges/flood_of_transit_set_ups.txt, red before: 16.5 MB of 10 MB for 120,000 pairs, now 7.0 MB. tests/module.rs: a call still takes its tandem after such a claim; red before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -14,8 +14,8 @@
 
 use crate::fair_map::FairMap;
 use crate::interface::{
-    Action, AttemptEnd, CallId, DeduplicationScope, EndReason, Event, ExchangeNumber, Health, LoadReport,
-    MILLISECOND, Micros, NewCall, Outcome, RepeatPolicy, SECOND, Settings, SwitchEntry, SwitchId,
+    Action, AttemptEnd, CallId, CallSource, DeduplicationScope, EndReason, Event, ExchangeNumber, Health,
+    LoadReport, MILLISECOND, Micros, NewCall, Outcome, RepeatPolicy, SECOND, Settings, SwitchEntry, SwitchId,
     SwitchListUpdate,
 };
 use rand_chacha::ChaCha8Rng;
@@ -499,7 +499,7 @@
     last_answered_at: Micros,
     started_at: Micros,
     /// Groups of circuits between other exchanges, by [`group_key`].
-    remote_groups: BTreeMap<(ExchangeNumber, ExchangeNumber), RemoteGroup>,
+    remote_groups: FairMap<(ExchangeNumber, ExchangeNumber), RemoteGroup>,
     exchanges: BTreeMap<ExchangeNumber, Exchange>,
     busy_numbers: FairMap<NumberKey, BusyNumber>,
     /// Numbers of calls that were not answered, and when their callers first tried.
@@ -540,7 +540,7 @@
             own_processor,
             last_answered_at: now,
             started_at: now,
-            remote_groups: BTreeMap::new(),
+            remote_groups: FairMap::new(history_limits.remote_groups),
             exchanges: BTreeMap::new(),
             busy_numbers: FairMap::new(history_limits.called_numbers),
             unsuccessful_numbers: FairMap::new(history_limits.called_numbers),
@@ -740,25 +740,38 @@
     /// Records what a call over a tandem showed of the second leg, from the tandem to the destination.
     fn record_second_leg(
         &mut self, now: Micros, tandem: SwitchId, destination: ExchangeNumber, had_room: bool,
+        source: CallSource,
     ) {
         let Some(switch) = self.switches.get(&tandem) else { return };
-        self.record_remote_group(now, switch.entry.exchange_number, destination, had_room);
+        let group = group_key(switch.entry.exchange_number, destination);
+        self.record_remote_group(now, group, had_room, source);
         self.second_leg_attempts.add(now, TRAFFIC_TIME_CONSTANT_S, 1.0);
         self.second_leg_successes.add(now, TRAFFIC_TIME_CONSTANT_S, f64::from(had_room));
     }
 
+    /// Records what a caller's set-up says of a group of circuits between two other exchanges. It proves
+    /// nothing as long as no call of that caller was answered: whoever names groups at will must not keep
+    /// others from their routes.
+    fn record_claimed_group(
+        &mut self, now: Micros, group: (ExchangeNumber, ExchangeNumber), had_room: bool, source: CallSource,
+    ) {
+        let is_listed = |exchange| self.exchanges.contains_key(exchange);
+        if source.is_trusted && is_listed(&group.0) && is_listed(&group.1) {
+            self.record_remote_group(now, group, had_room, source);
+        }
+    }
+
     /// Records whether a group of circuits between two other exchanges had room.
     fn record_remote_group(
-        &mut self, now: Micros, one_end: ExchangeNumber, other_end: ExchangeNumber, had_room: bool,
+        &mut self, now: Micros, group: (ExchangeNumber, ExchangeNumber), had_room: bool, source: CallSource,
     ) {
-        let not_yet_seen = RemoteGroup { had_room: true, valid_until: now, validity: 0 };
-        let group = self.remote_groups.entry(group_key(one_end, other_end)).or_insert(not_yet_seen);
-        let validity = if had_room || group.had_room {
-            MIN_REMOTE_GROUP_VALIDITY
-        } else {
-            (group.validity * 2).min(MAX_REMOTE_GROUP_VALIDITY)
+        let found_full_before = self.remote_groups.get(&group).filter(|group| !group.had_room);
+        let validity = match found_full_before {
+            Some(before) if !had_room => (before.validity * 2).min(MAX_REMOTE_GROUP_VALIDITY),
+            _ => MIN_REMOTE_GROUP_VALIDITY,
         };
-        *group = RemoteGroup { had_room, valid_until: now + validity, validity };
+        let seen = RemoteGroup { had_room, valid_until: now + validity, validity };
+        self.remote_groups.insert(group, seen, source);
     }
 
     /// Upper bound of the base delay, so that a base delay learned during an overload does not hide the
@@ -820,7 +833,7 @@
             // Once a second, remove the state that has expired.
             self.busy_numbers.retain(|number| number.wait_until + MAX_BUSY_NUMBER_WAIT > now);
             self.unsuccessful_numbers.retain(|first_tried_at| *first_tried_at + REDIAL_WINDOW > now);
-            self.remote_groups.retain(|_, group| group.valid_until + MAX_REMOTE_GROUP_VALIDITY > now);
+            self.remote_groups.retain(|group| group.valid_until + MAX_REMOTE_GROUP_VALIDITY > now);
             self.switches.retain(|_, switch| {
                 let left_long_ago =
                     switch.leaving_since.is_some_and(|since| since + LEAVING_SWITCH_RETENTION < now);
@@ -853,6 +866,7 @@
         let destination = request.destination;
         let via_exchange = request.via_exchange;
         let transit = request.transit;
+        let source = request.source;
         let number_key = self.number_key(&request.called_number);
         let number_is_busy = self.busy_numbers.get(&number_key).is_some_and(|number| number.wait_until > now);
         let earlier_try_at = self.unsuccessful_numbers.remove(&number_key);
@@ -877,15 +891,16 @@
         if transit {
             // The call comes over this exchange because the group from its origin to its destination is full
             // or does not exist.
-            self.record_remote_group(now, via_exchange, destination, false);
+            self.record_claimed_group(now, group_key(via_exchange, destination), false, source);
             return self.route(now, id, actions);
         }
         if via_exchange >= 0 {
             // The advice is seconds old. It counts as a group seen with room, unless that group was found
             // full since.
-            let group = self.remote_groups.get(&group_key(via_exchange, destination));
-            if group.is_none_or(|group| group.had_room || group.valid_until < now) {
-                self.record_remote_group(now, via_exchange, destination, true);
+            let group = group_key(via_exchange, destination);
+            let known = self.remote_groups.get(&group);
+            if known.is_none_or(|known| known.had_room || known.valid_until < now) {
+                self.record_claimed_group(now, group, true, source);
             }
         }
         let Some(switch_id) = self.switch_serving(destination).filter(|_| !number_is_busy) else {
@@ -1215,8 +1230,9 @@
         call.state = CallState::Answered;
         actions.push(Action::CancelTimer { token: timer_token(TIMER_DEADLINE, id) });
         let destination = call.request.destination;
+        let source = call.request.source;
         if tandem {
-            self.record_second_leg(now, switch, destination, true);
+            self.record_second_leg(now, switch, destination, true, source);
         }
         let direct_set_up_delay =
             if tandem { (set_up_delay as f64 / TANDEM_SET_UP_FACTOR) as Micros } else { set_up_delay };
@@ -1309,7 +1325,7 @@
             }
             (Outcome::Congested, _) => {
                 if tandem {
-                    self.record_second_leg(now, switch, destination, false);
+                    self.record_second_leg(now, switch, destination, false, source);
                 }
                 // At most one attempt follows, even if the settings allow more.
                 attempt_again = self.calls[&id].attempt_count < 2;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,12 +135,14 @@
 pub struct HistoryLimits {
     /// Most called numbers whose last call was not answered, and most that were found busy.
     pub called_numbers: usize,
+    /// Most groups of circuits between other exchanges.
+    pub remote_groups: usize,
 }
 
 impl Default for HistoryLimits {
     /// The limits where no memory limit is configured.
     fn default() -> Self {
-        HistoryLimits { called_numbers: 1 << 16 }
+        HistoryLimits { called_numbers: 1 << 16, remote_groups: 1 << 16 }
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -63,6 +63,9 @@
 /// Memory that the controller takes for a called number that it keeps, approximately.
 const BYTES_PER_CALLED_NUMBER: usize = 128;
 
+/// Memory that the controller takes for a group of circuits between other exchanges, approximately.
+const BYTES_PER_REMOTE_GROUP: usize = 192;
+
 /// Writes a line to the log, which is standard error. A failure to write is ignored, so that calls are served
 /// even without a log.
 pub fn log(line: &str) {
@@ -107,7 +110,7 @@
     max_calls: usize,
     /// Total bytes of the session descriptions that unanswered calls hold.
     max_description_bytes: usize,
-    /// What the controller keeps of calls that have ended. At these limits it takes a sixteenth of the memory.
+    /// What the controller keeps of calls that have ended. At these limits it takes three 32nds of the memory.
     history: HistoryLimits,
 }
 
@@ -122,7 +125,10 @@
             max_peer_buffer_bytes: memory_bytes / 64,
             max_calls: eighth_of_memory / BYTES_PER_CALL,
             max_description_bytes: eighth_of_memory,
-            history: HistoryLimits { called_numbers: memory_bytes / 32 / BYTES_PER_CALLED_NUMBER },
+            history: HistoryLimits {
+                called_numbers: memory_bytes / 32 / BYTES_PER_CALLED_NUMBER,
+                remote_groups: memory_bytes / 32 / BYTES_PER_REMOTE_GROUP,
+            },
         }
     }
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -10,7 +10,7 @@
 //!     PARTY < end       its connection has been closed
 //!     PARTY floods COUNT BYTES   a caller sends these bytes COUNT times and reads one message in reply each
 //!                       time; at most 100 are open. Eight bytes ee stand for a number that counts up, and so
-//!                       do 16 characters # (as hex digits)
+//!                       do 16 characters # (as hex digits) and 6 characters % (its last decimal digits)
 //!     memory < MB       the program has never held more memory than this
 //!     signal TERM       sends a signal    exits 0           waits for the program to exit with this code
 //!     log TEXT          waits for a line with this text in the program's log
@@ -48,6 +48,7 @@
 /// In a message of a flood, what its number takes the place of.
 const FLOOD_NUMBER_BYTES: [u8; 8] = [0xee; 8];
 const FLOOD_NUMBER_DIGITS: [u8; 16] = [b'#'; 16];
+const FLOOD_NUMBER_DECIMALS: [u8; 6] = [b'%'; 6];
 
 /// Longer lines of an exchange are printed only up to this length.
 const MAX_PRINTED_BYTES: usize = 120;
@@ -277,6 +278,8 @@
                 let mut message = template.clone();
                 replace_all(&mut message, &FLOOD_NUMBER_BYTES, &number.to_be_bytes());
                 replace_all(&mut message, &FLOOD_NUMBER_DIGITS, format!("{number:016x}").as_bytes());
+                let decimals = format!("{:06}", number % 1_000_000);
+                replace_all(&mut message, &FLOOD_NUMBER_DECIMALS, decimals.as_bytes());
                 bytes.extend(message);
             }
             let connection = self.connection(party);
@@ -361,6 +364,7 @@
     flood
     flood_of_called_numbers
     flood_of_refused_set_ups
+    flood_of_transit_set_ups
     group_full_takes_the_tandem
     idle_close
     long_and_split_messages
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -370,6 +370,18 @@
     assert_eq!(harness.new_call(3, 1), vec![102]);
 }
 
+/// Guards against transit set-ups of an unknown caller that name groups at will and so take the tandem routes
+/// from other callers.
+#[test]
+fn a_transit_call_of_a_caller_without_an_answered_call_shows_nothing_of_a_group() {
+    let mut harness = Harness::new(|_| {});
+    harness.report_free_circuits(101, 0.0);
+    let untrusted = CallSource { connection: 1, is_trusted: false };
+    let claim = NewCall { via_exchange: 2, transit: true, source: untrusted, ..harness.call(1, 1, "n") };
+    assert!(harness.offer_call(claim).is_empty());
+    assert_eq!(harness.new_call(2, 1), vec![102]);
+}
+
 #[test]
 fn tandems_whose_second_leg_was_last_seen_with_room_come_first() {
     // The second leg is the group from the tandem to the destination.
@@ -532,8 +544,9 @@
 /// that lets a flood of refused calls displace the numbers of honest callers.
 #[test]
 fn a_redial_is_known_beside_a_flood_of_refused_calls() {
-    let mut harness =
-        Harness::new(|settings| settings.history_limits = HistoryLimits { called_numbers: 100 });
+    let mut harness = Harness::new(|settings| {
+        settings.history_limits = HistoryLimits { called_numbers: 100, ..HistoryLimits::default() }
+    });
     harness.run_steady_traffic(100..130, millis(60), millis(100));
     harness.report_free_circuits(101, 0.0);
     harness.report_free_circuits(102, 0.0);
