Read each caller once an iteration, and those without an answered call within a share

Cause: `pending_reads` had no limit. Each readiness of a connection that still had input queued it once more, and nothing but an empty socket took an entry away, so a connection that always had more was read once more in each iteration of the event loop: the input, calls, events, commands and replies of an iteration grew, and answers, time-outs and the controller's batches waited for its end. The set-up delays that the controller measures grew with it, so that it took its own processor for overloaded and rejected calls.

Change: `PendingReads` holds each connection once. In an iteration the callers without an answered call are read in chunks of 4 KiB up to 64 KiB together, in turn, those that had to wait first; the others up to a 512th of the memory, and they don't wait behind the first.

Evidence: src/net/pending_reads/tests.rs for the queue and the shares.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -16,7 +16,7 @@
 
 /// A carrier switch: one processor that serves an exchange. A machine that replaces another has a new id and
 /// the same [`ExchangeNumber`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SwitchId(pub u64);
 
 /// Number of an exchange or pool in the numbering plan; -1 means none.
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -2,8 +2,9 @@
 //! binary protocol.
 
 use super::binary::{self, Message, message_type, parameter_code};
-use super::link::{Connection, ReadStatus};
-use super::{Gatekeeper, PendingRead, log};
+use super::link::{Connection, READ_CHUNK_BYTES, ReadStatus};
+use super::pending_reads::PendingRead;
+use super::{Gatekeeper, log};
 use crate::call::{Caller, ConnectionId, SetUp, SetUpError, Tag, TimerEvent, cause};
 use crate::interface::{ExchangeNumber, MILLISECOND, Micros, SECOND};
 use calloop::generic::Generic;
@@ -36,6 +37,9 @@
 /// Most unanswered calls on a connection on which no call has been answered yet; further set-ups are
 /// rejected. Only a caller that sends without reading the replies exceeds the limit.
 const MAX_UNANSWERED_BEFORE_FIRST_ANSWER: usize = 128;
+/// Most bytes that are read at once of a connection on which no call has been answered yet, so that many of
+/// them are read in an iteration.
+const UNTRUSTED_READ_CHUNK_BYTES: usize = 4 * 1024;
 /// Longest called number that a set-up may have.
 const MAX_CALLED_NUMBER_BYTES: usize = 64;
 /// Largest absolute value of an integer among the routing attributes of a set-up. A set-up with a larger one
@@ -71,6 +75,13 @@
     unknown_releases: u32,
 }
 
+impl CallerConnection {
+    /// Whether a call that was set up on it has been answered.
+    fn is_trusted(&self) -> bool {
+        self.trust == TrustLevel::AnsweredCall
+    }
+}
+
 /// A health check that has not been answered.
 struct HealthCheck {
     connection_id: ConnectionId,
@@ -396,7 +407,26 @@
     }
 
     /// A caller's connection has become readable or writable, or has failed.
-    pub(super) fn handle_caller_readiness(&mut self, id: ConnectionId) {
+    fn handle_caller_readiness(&mut self, id: ConnectionId) {
+        let read = PendingRead::Caller(id);
+        let is_trusted = self.callers.connections.get(&id).is_some_and(CallerConnection::is_trusted);
+        // Those that wait are read first.
+        let is_next = is_trusted || self.pending_reads.is_empty();
+        if is_next && self.may_read_caller(id) && !self.pending_reads.contains(read) {
+            self.read_caller(id);
+        } else {
+            self.pending_reads.push(read);
+        }
+    }
+
+    /// Whether more may be read of a caller in this iteration of the event loop.
+    pub(super) fn may_read_caller(&self, id: ConnectionId) -> bool {
+        let caller = self.callers.connections.get(&id);
+        caller.is_none_or(|caller| self.pending_reads.may_read_callers(caller.is_trusted()))
+    }
+
+    /// Reads a chunk of a caller's input and handles the messages in it.
+    pub(super) fn read_caller(&mut self, id: ConnectionId) {
         let now = self.clock.now();
         let Some(caller) = self.callers.connections.get_mut(&id) else { return };
         if caller.half_closed {
@@ -407,7 +437,12 @@
             }
             return;
         }
-        let read_status = caller.connection.read();
+        let is_trusted = caller.is_trusted();
+        let buffered_before = caller.connection.input_buffer.len();
+        let max_bytes = if is_trusted { READ_CHUNK_BYTES } else { UNTRUSTED_READ_CHUNK_BYTES };
+        let read_status = caller.connection.read(max_bytes);
+        let received = caller.connection.input_buffer.len() - buffered_before;
+        self.pending_reads.record_caller_bytes(is_trusted, received);
         let (messages, decode_result) = caller.connection.decode_messages(binary::decode);
         let has_incomplete_message = !caller.connection.input_buffer.is_empty();
         caller.incomplete_since = match caller.incomplete_since {
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -1,9 +1,10 @@
 //! The control feed: a connection on which numbered events arrive that change the switch list.
 
 use super::lines;
-use super::link::{Connection, DecodeResult, ReadStatus};
+use super::link::{Connection, DecodeResult, READ_CHUNK_BYTES, ReadStatus};
+use super::pending_reads::PendingRead;
 use super::switches::ListedSwitch;
-use super::{Gatekeeper, PendingRead, log};
+use super::{Gatekeeper, log};
 use crate::call::TimerEvent;
 use crate::clock::Clock;
 use crate::interface::{ExchangeNumber, Health, MILLISECOND, Micros, SECOND, SwitchEntry, SwitchListUpdate};
@@ -271,7 +272,7 @@
             }
         }
         let Some(connection) = &mut self.feed.connection else { return };
-        let status = connection.read();
+        let status = connection.read(READ_CHUNK_BYTES);
         let max_line_bytes = self.feed.max_line_bytes;
         let (lines, result) = connection.decode_messages(|bytes| decode(bytes, max_line_bytes));
         if !lines.is_empty() {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 /// Maximum number of bytes per read, so that a busy connection does not keep the others waiting.
-const READ_CHUNK_BYTES: usize = 16 * 1024;
+pub const READ_CHUNK_BYTES: usize = 16 * 1024;
 
 /// Linux error number of a non-blocking connect in progress.
 const EINPROGRESS: i32 = 115;
@@ -90,13 +90,15 @@
         }
     }
 
-    /// Reads at most one chunk of the bytes available and appends it to the input buffer.
-    pub fn read(&mut self) -> ReadStatus {
+    /// Reads at most `max_bytes`, and no more than one chunk, of the bytes available and appends them to the
+    /// input buffer.
+    pub fn read(&mut self, max_bytes: usize) -> ReadStatus {
         // Read by way of the stack, so that the input buffer grows by the bytes received and not by a whole
         // chunk: many peers may leave a message incomplete at the same time.
         let mut chunk = [0; READ_CHUNK_BYTES];
+        let (chunk, _) = chunk.split_at_mut(max_bytes.min(READ_CHUNK_BYTES));
         let result = loop {
-            match (&*self.stream).read(&mut chunk) {
+            match (&*self.stream).read(chunk) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 other => break other,
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,17 +5,19 @@
 pub mod feed;
 pub mod lines;
 pub mod link;
+pub mod pending_reads;
 pub mod switches;
 
-use crate::call::{CallControl, CallLimits, Command, ConnectionId, TimerEvent};
+use crate::call::{CallControl, CallLimits, Command, TimerEvent};
 use crate::clock::Clock;
-use crate::interface::{HistoryLimits, MILLISECOND, Micros, SECOND, Settings, SwitchId};
+use crate::interface::{HistoryLimits, MILLISECOND, Micros, SECOND, Settings};
 use crate::settings::{self, IndexedNames};
 use callers::Callers;
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{Dispatcher, EventLoop};
 use feed::{ControlFeed, KnownEvents};
+use pending_reads::{PendingRead, PendingReads};
 use serde::Deserialize;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -104,6 +106,8 @@
     /// Unsent bytes per caller. If each caller is at this limit, they take an eighth of the memory together.
     /// The limit is never below two messages of the largest size.
     max_unsent_bytes_per_caller: usize,
+    /// Bytes that are read in an iteration of the event loop from callers with an answered call.
+    max_input_bytes: usize,
     /// Unsent bytes per switch, and the size of a line of the control feed.
     max_peer_buffer_bytes: usize,
     /// Calls, answered or not. At this limit they take about an eighth of the memory.
@@ -122,6 +126,7 @@
             max_caller_connections,
             max_unsent_bytes_per_caller: (eighth_of_memory / max_caller_connections)
                 .max(2 * binary::MAX_MESSAGE_BYTES),
+            max_input_bytes: memory_bytes / 512,
             max_peer_buffer_bytes: memory_bytes / 64,
             max_calls: eighth_of_memory / BYTES_PER_CALL,
             max_description_bytes: eighth_of_memory,
@@ -228,14 +233,6 @@
     }
 }
 
-/// A connection that may have more input than was read in one iteration of the event loop.
-#[derive(Clone, Copy)]
-enum PendingRead {
-    Caller(ConnectionId),
-    Switch(SwitchId),
-    Feed,
-}
-
 /// The state of the gatekeeper, which the callbacks of the event loop work on.
 pub struct Gatekeeper {
     clock: Clock,
@@ -243,7 +240,7 @@
     callers: Callers,
     switches: Switches,
     feed: ControlFeed,
-    pending_reads: Vec<PendingRead>,
+    pending_reads: PendingReads,
     /// The deadline that the event loop's timer is set to.
     timer_deadline: Option<Micros>,
     /// Set once every switch in service has sent a message, could not be reached or was silent for too long
@@ -305,7 +302,7 @@
             limits.max_peer_buffer_bytes,
         ),
         feed: ControlFeed::new(loop_handle.clone(), config.feed_address, limits.max_peer_buffer_bytes),
-        pending_reads: vec![],
+        pending_reads: PendingReads::new(limits.max_input_bytes),
         timer_deadline: None,
         ready: false,
         shutdown_started_at: None,
@@ -343,6 +340,7 @@
     /// the program is to exit.
     fn complete_iteration(&mut self) -> bool {
         let now = self.clock.now();
+        self.pending_reads.start_iteration();
         while let Some(event) = self.call_control.timers.pop_due(now) {
             match event {
                 TimerEvent::SwitchConnection(switch) => self.handle_switch_connection_timer(switch),
@@ -377,13 +375,18 @@
     /// Continues to read connections that had more input than was read at once. Readiness is edge-triggered,
     /// so the event loop does not report it again.
     fn resume_reads(&mut self) {
-        for pending_read in std::mem::take(&mut self.pending_reads) {
+        let mut not_read = Vec::new();
+        for pending_read in self.pending_reads.take() {
             match pending_read {
-                PendingRead::Caller(connection) => self.handle_caller_readiness(connection),
+                PendingRead::Caller(connection) if !self.may_read_caller(connection) => {
+                    not_read.push(pending_read);
+                }
+                PendingRead::Caller(connection) => self.read_caller(connection),
                 PendingRead::Switch(switch) => self.handle_switch_readiness(switch),
                 PendingRead::Feed => self.handle_feed_readiness(),
             }
         }
+        self.pending_reads.put_back(not_read);
     }
 
     fn execute_commands(&mut self) {
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -13,8 +13,9 @@
 //! - `PENDING`: progress of a set-up; ignored on receipt.
 
 use super::lines::{self, Message};
-use super::link::{Connection, ReadStatus};
-use super::{Gatekeeper, PendingRead, log};
+use super::link::{Connection, READ_CHUNK_BYTES, ReadStatus};
+use super::pending_reads::PendingRead;
+use super::{Gatekeeper, log};
 use crate::call::{Release, Tag, TimerEvent, cause};
 use crate::interface::{
     EndReason, ExchangeNumber, Health, LoadReport, MILLISECOND, Micros, SECOND, SwitchId,
@@ -785,7 +786,7 @@
 }
 
 fn read_messages(connection: &mut Connection) -> Input {
-    let status = connection.read();
+    let status = connection.read(READ_CHUNK_BYTES);
     let (messages, decode_result) = connection.decode_messages(lines::decode);
     Input { messages, decode_result, status }
 }
