Count unanswered calls by connection and leave room beside callers that hold all they may

What callers saw: set-ups of honest callers were rejected for congestion while a few connections held the call table or the room for session descriptions; and each set-up on a connection without an answered call cost a walk over all calls, as did the end of a connection and each look whether a half-closed one is done.

Cause: the limits on calls and description bytes were for all callers together, and the 128 unanswered calls of a connection are more than its part where many connections come: at 48 MB six connections with long descriptions fill all the room before the controller sees the calls.

Change: `UnansweredCalls` indexes the unanswered calls by connection, with their description bytes, and loses a connection with its last one. A caller may hold as many calls and bytes as are still free; one that has had a call answered eight times as many. So several callers at their limit always leave room for another, and a single trusted one still gets eight ninths of all.

Evidence: src/call/tests.rs, a_caller_finds_room_beside_callers_that_hold_ all_they_may: both set-ups of honest callers were rejected before.

--- a/src/call.rs
+++ b/src/call.rs
@@ -12,6 +12,10 @@
 use crate::timers::{TimerId, TimerQueue};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+pub mod unanswered;
+
+use unanswered::{FreeRoom, UnansweredCalls};
+
 #[cfg(test)]
 mod tests;
 
@@ -300,9 +304,9 @@
     /// Shortest time between two batches of events.
     min_batch_interval: Micros,
     limits: CallLimits,
-    /// Total bytes of the session descriptions in the call table.
-    description_bytes: usize,
     calls: BTreeMap<CallId, Call>,
+    /// Those of the calls that are not answered.
+    unanswered: UnansweredCalls,
     /// Ids of the calls in the call table.
     call_ids: HashMap<Tag, CallId>,
     last_call_id: u64,
@@ -339,7 +343,7 @@
             names,
             min_batch_interval,
             limits,
-            description_bytes: 0,
+            unanswered: UnansweredCalls::default(),
             calls: BTreeMap::new(),
             call_ids: HashMap::new(),
             last_call_id: 0,
@@ -365,7 +369,12 @@
 
     /// The number of unanswered calls.
     pub fn unanswered_count(&self) -> usize {
-        self.calls.values().filter(|call| matches!(call.state, CallState::Unanswered(_))).count()
+        self.unanswered.call_count()
+    }
+
+    /// The number of unanswered calls that were set up on a connection.
+    pub fn unanswered_count_of(&self, connection: ConnectionId) -> usize {
+        self.unanswered.call_count_of(connection)
     }
 
     /// Whether a call has an attempt in progress at a switch or was answered by it.
@@ -385,8 +394,8 @@
 
     // Messages and connections of callers.
 
-    /// Takes a set-up from a caller. If the call table is full, or the session descriptions would take too
-    /// many bytes, the set-up is rejected without asking the controller.
+    /// Takes a set-up from a caller. If the call table is full, the session descriptions would take too many
+    /// bytes, or the caller has its share of both, the set-up is rejected without asking the controller.
     ///
     /// # Errors
     /// The set-up was not accepted, and the caller has not been told.
@@ -412,17 +421,15 @@
         if !valid {
             return Err(SetUpError::Invalid);
         }
-        let new_description_bytes =
-            self.description_bytes + set_up.session_description.as_ref().map_or(0, String::len);
-        let calls_full = self.calls.len() >= self.limits.max_calls;
-        if calls_full || new_description_bytes > self.limits.max_description_bytes {
+        let description_bytes = set_up.session_description.as_ref().map_or(0, String::len);
+        if !self.unanswered.may_add(caller, description_bytes, &self.free_room()) {
             // Bounds the memory that calls take, by the limits in the settings and the configuration.
             self.reject_for_congestion(connection, set_up.tag);
             return Ok(());
         }
-        self.description_bytes = new_description_bytes;
         self.last_call_id += 1;
         let id = CallId(self.last_call_id);
+        self.unanswered.add(connection, id, description_bytes);
         let caller_deadline = now.saturating_add(set_up.caller_timeout);
         self.call_ids.insert(set_up.tag, id);
         self.pending_events.push(Event::NewCall(NewCall {
@@ -452,6 +459,15 @@
         Ok(())
     }
 
+    /// What is still free of the limits on calls.
+    fn free_room(&self) -> FreeRoom {
+        let held_bytes = self.unanswered.description_bytes();
+        FreeRoom {
+            calls: self.limits.max_calls.saturating_sub(self.calls.len()),
+            description_bytes: self.limits.max_description_bytes.saturating_sub(held_bytes),
+        }
+    }
+
     /// Rejects a set-up that would exceed a limit on calls, without asking the controller.
     pub fn reject_for_congestion(&mut self, connection: ConnectionId, tag: Tag) {
         self.commands.push(Command::Reject {
@@ -481,27 +497,14 @@
     /// A caller's connection has closed: its unanswered calls are released. Answered calls stay up, as they
     /// do not depend on the connection of their set-up.
     pub fn handle_caller_disconnect(&mut self, now: Micros, connection: ConnectionId) {
-        let unanswered =
-            |call: &Call| call.connection == connection && matches!(call.state, CallState::Unanswered(_));
-        let ids: Vec<CallId> =
-            self.calls.iter().filter(|(_, call)| unanswered(call)).map(|(id, _)| *id).collect();
+        let ids: Vec<CallId> = self.unanswered.ids_of(connection).collect();
         ids.into_iter().for_each(|id| self.release_for_caller(now, id));
     }
 
     /// The tag of an unanswered call that was set up on a connection, if there is one.
     pub fn unanswered_call(&self, connection: ConnectionId) -> Option<Tag> {
-        let unanswered =
-            |call: &&Call| call.connection == connection && matches!(call.state, CallState::Unanswered(_));
-        self.calls.values().find(unanswered).map(|call| call.tag)
-    }
-
-    /// The number of unanswered calls of each connection that has any.
-    pub fn unanswered_by_connection(&self) -> BTreeMap<ConnectionId, usize> {
-        let mut counts = BTreeMap::new();
-        for call in self.calls.values().filter(|call| matches!(call.state, CallState::Unanswered(_))) {
-            *counts.entry(call.connection).or_default() += 1;
-        }
-        counts
+        let id = self.unanswered.ids_of(connection).next()?;
+        self.calls.get(&id).map(|call| call.tag)
     }
 
     /// Removes a call whose caller has released it or has disconnected, and releases it at its switch.
@@ -538,7 +541,8 @@
                 call.state = CallState::Answered { switch, sent_at, attempt_number };
                 let set_up_delay = now - sent_at;
                 // The caller's session description is no longer needed, and an answered call may last long.
-                self.description_bytes -= call.session_description.take().map_or(0, |text| text.len());
+                let description_bytes = call.session_description.take().map_or(0, |text| text.len());
+                self.unanswered.remove(call.connection, id, description_bytes);
                 self.pending_events.push(Event::CallAnswered { call: id, attempt_number, set_up_delay });
                 let connection = call.connection;
                 return self.commands.push(Command::Answer { connection, tag, session_description });
@@ -850,7 +854,8 @@
     fn remove_call(&mut self, now: Micros, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
         self.call_ids.remove(&call.tag);
-        self.description_bytes -= call.session_description.as_ref().map_or(0, String::len);
+        let description_bytes = call.session_description.as_ref().map_or(0, String::len);
+        self.unanswered.remove(call.connection, id, description_bytes);
         self.record_ended_tag(now, call.tag);
         Some(call)
     }
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -224,7 +224,7 @@
     fixture.run_iteration();
     assert!(matches!(set_up_with_description(&mut fixture, 3)[..], [Command::SetUp { tag: 3, .. }]));
     fixture.call_control.handle_caller_release(fixture.now, 3);
-    assert_eq!(fixture.call_control.description_bytes, 0);
+    assert_eq!(fixture.call_control.unanswered.description_bytes(), 0);
 }
 
 #[test]
@@ -284,3 +284,37 @@
     fixture.run_iteration();
     assert_eq!(fixture.call_control.timers.len(), timers_before);
 }
+
+/// Guards against callers that take the whole call table, or all room for session descriptions, before the
+/// controller has seen their calls: set-ups of other callers were rejected.
+#[test]
+fn a_caller_finds_room_beside_callers_that_hold_all_they_may() {
+    let mut fixture = Fixture::new();
+    let description = "v".repeat(500);
+    for tag in 1..=1000 {
+        let flooding = Caller { connection: ConnectionId(2 + tag % 5), is_trusted: false };
+        let set_up = SetUp { session_description: Some(description.clone()), ..fixture.set_up(tag) };
+        fixture.call_control.handle_set_up(fixture.now, flooding, set_up).unwrap();
+    }
+    fixture.call_control.commands.clear();
+    for (tag, is_trusted) in [(2001, false), (2002, true)] {
+        let caller = Caller { connection: ConnectionId(tag), is_trusted };
+        let set_up = SetUp { session_description: Some(description.clone()), ..fixture.set_up(tag) };
+        fixture.call_control.handle_set_up(fixture.now, caller, set_up).unwrap();
+    }
+    assert_eq!(fixture.call_control.commands, [], "no set-up is rejected");
+}
+
+#[test]
+fn a_connection_without_unanswered_calls_keeps_no_entry() {
+    let mut fixture = Fixture::new();
+    fixture.set_up_answered_call(1);
+    let unanswered = fixture.set_up(2);
+    fixture.offer(unanswered);
+    assert_eq!(fixture.call_control.unanswered_count_of(CALLER), 1);
+    assert_eq!(fixture.call_control.unanswered_call(CALLER), Some(2));
+    fixture.call_control.handle_caller_disconnect(fixture.now, CALLER);
+    assert_eq!(fixture.call_control.unanswered_count(), 0);
+    assert_eq!(fixture.call_control.unanswered_count_of(CALLER), 0);
+    assert!(fixture.call_control.has_calls_at(SWITCH), "the answered call stays");
+}
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -5,7 +5,7 @@
 use super::link::{Connection, READ_CHUNK_BYTES, ReadStatus};
 use super::pending_reads::PendingRead;
 use super::{Gatekeeper, log};
-use crate::call::{Caller, ConnectionId, SetUp, SetUpError, Tag, TimerEvent, cause};
+use crate::call::{CallControl, Caller, ConnectionId, SetUp, SetUpError, Tag, TimerEvent, cause};
 use crate::interface::{ExchangeNumber, MILLISECOND, Micros, SECOND};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
@@ -171,21 +171,24 @@
 
     /// The connection to close in favour of a new one: of those without an unanswered call and with the
     /// lowest trust level, the one that has been inactive for longest.
-    fn eviction_candidate(&self, unanswered: &BTreeMap<ConnectionId, usize>) -> Option<ConnectionId> {
-        let evictable = self.connections.iter().filter(|(id, _)| !unanswered.contains_key(id));
+    fn eviction_candidate(&self, call_control: &CallControl) -> Option<ConnectionId> {
+        let has_no_unanswered_call = |id: ConnectionId| call_control.unanswered_count_of(id) == 0;
+        let evictable = self.connections.iter().filter(|(id, _)| has_no_unanswered_call(**id));
         evictable.min_by_key(|(_, caller)| (caller.trust, caller.last_active_at)).map(|(id, _)| *id)
     }
 
     /// The connections to close because a time-out has expired, and the reasons.
     fn timed_out_connections(
-        &self, now: Micros, unanswered: &BTreeMap<ConnectionId, usize>,
+        &self, now: Micros, call_control: &CallControl,
     ) -> Vec<(ConnectionId, &'static str)> {
         let timed_out = |(id, caller): (&ConnectionId, &CallerConnection)| {
             let inactivity_timeout =
                 if caller.trust == TrustLevel::Unknown { RECEIVE_TIMEOUT } else { IDLE_TIMEOUT };
             if caller.incomplete_since.is_some_and(|since| now >= since + RECEIVE_TIMEOUT) {
                 Some((*id, "the rest of a message did not arrive in time"))
-            } else if !unanswered.contains_key(id) && now >= caller.last_active_at + inactivity_timeout {
+            } else if call_control.unanswered_count_of(*id) == 0
+                && now >= caller.last_active_at + inactivity_timeout
+            {
                 Some((*id, "no valid message arrived in time"))
             } else {
                 None
@@ -347,8 +350,7 @@
                     if self.callers.connections.len() >= self.callers.max_connections {
                         // Bounds the file descriptors in use. If the listener stopped accepting instead,
                         // connections that are open but unused would keep callers out.
-                        let unanswered = self.call_control.unanswered_by_connection();
-                        match self.callers.eviction_candidate(&unanswered) {
+                        match self.callers.eviction_candidate(&self.call_control) {
                             Some(id) => {
                                 let reason = format!(
                                     "a new one came at the limit of {}, which follows from limits.sockets",
@@ -373,8 +375,7 @@
     /// next run.
     pub(super) fn run_caller_maintenance(&mut self) {
         let now = self.clock.now();
-        let unanswered = self.call_control.unanswered_by_connection();
-        for (id, reason) in self.callers.timed_out_connections(now, &unanswered) {
+        for (id, reason) in self.callers.timed_out_connections(now, &self.call_control) {
             self.close_caller_connection_with_reason(id, reason);
         }
         self.callers.send_pending_releases(now);
@@ -530,10 +531,8 @@
         let tag = message.tag;
         let no_answered_call = trust != TrustLevel::AnsweredCall;
         let parsed = parse_set_up(message);
-        let limit_reached = parsed.is_some() && no_answered_call && {
-            let unanswered = self.call_control.unanswered_by_connection();
-            unanswered.get(&id).is_some_and(|count| *count >= MAX_UNANSWERED_BEFORE_FIRST_ANSWER)
-        };
+        let limit_reached = no_answered_call
+            && self.call_control.unanswered_count_of(id) >= MAX_UNANSWERED_BEFORE_FIRST_ANSWER;
         let result = match parsed {
             Some(_) if limit_reached => {
                 // Bounds the room in the call table that a caller can take by sending without pause, so that
