Keep the tags of calls that a switch knows apart from those of refused calls

What callers saw: beside a flood of refused set-ups, a call that its caller had withdrawn stays up at the switch if the answer crosses the release, and holds its circuits until its own end; a release that a switch repeats on its next connection is passed on to a caller a second time.

Cause: the tags of ended calls are kept for ten minutes, at most eight for each call that the call table may hold (46,900 at 48 MB), the oldest going first.

Change: `EndedTags` keeps the tags of calls that were sent to a switch, and of calls from before the last start that a switch names, under the limit of before. Those of calls that were refused before they were sent anywhere, and those that callers name, have a limit of their own, a quarter of it. Both limits hold at once, no longer after the next batch only.

--- a/src/call.rs
+++ b/src/call.rs
@@ -10,10 +10,12 @@
 };
 use crate::settings::IndexedNames;
 use crate::timers::{TimerId, TimerQueue};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
+pub mod ended_tags;
 pub mod unanswered;
 
+use ended_tags::EndedTags;
 use unanswered::{FreeRoom, UnansweredCalls};
 
 #[cfg(test)]
@@ -56,12 +58,6 @@
 /// its switch. The controller has call ids of its own, and only [`CallControl`] translates between the two.
 pub type Tag = u64;
 
-/// How long the tag of an ended call is kept, so that messages that still arrive for it are taken for
-/// repeats. It is long because a switch repeats a release on its next connection, which may be established
-/// much later.
-const ENDED_TAG_RETENTION: Micros = 600 * SECOND;
-/// Most tags of ended calls that are kept, as a multiple of the calls that the call table may hold.
-const MAX_ENDED_TAGS_PER_CALL: usize = 8;
 /// Back-off of set-ups that are rejected without asking the controller, because a limit on calls is reached.
 const CONGESTION_BACK_OFF: Micros = SECOND;
 /// A probe that has not been answered after this time has failed.
@@ -291,12 +287,6 @@
     timer: TimerId,
 }
 
-/// When the tag of an ended call is no longer kept.
-struct EndedTagExpiry {
-    expires_at: Micros,
-    tag: Tag,
-}
-
 /// The call table and the controller that decides on its calls.
 pub struct CallControl {
     controller: Controller,
@@ -310,10 +300,7 @@
     /// Ids of the calls in the call table.
     call_ids: HashMap<Tag, CallId>,
     last_call_id: u64,
-    /// Tags of calls that have ended, and when they were last recorded.
-    ended_tags: HashMap<Tag, Micros>,
-    /// Expiry times of the tags in `ended_tags`, earliest first.
-    ended_tag_expiries: VecDeque<EndedTagExpiry>,
+    ended_tags: EndedTags,
     /// Probes without an answer.
     probes: HashMap<Tag, Probe>,
     last_probe_tag: Tag,
@@ -338,6 +325,7 @@
         let min_batch_interval = settings.min_batch_interval;
         let mut actions = Vec::new();
         let controller = Controller::new(settings, seed, now, &mut actions);
+        let ended_tags = EndedTags::new(limits.max_calls);
         let mut call_control = CallControl {
             controller,
             names,
@@ -347,8 +335,7 @@
             calls: BTreeMap::new(),
             call_ids: HashMap::new(),
             last_call_id: 0,
-            ended_tags: HashMap::new(),
-            ended_tag_expiries: VecDeque::new(),
+            ended_tags,
             probes: HashMap::new(),
             last_probe_tag: seed,
             pending_events: vec![],
@@ -484,9 +471,9 @@
         let Some(id) = self.call_ids.get(&tag).copied() else {
             // A tag that has not been seen may belong to a call that was set up before the last restart and
             // is still up at any of the switches.
-            if !self.ended_tags.contains_key(&tag) {
+            if !self.ended_tags.contains(tag) {
                 self.commands.push(Command::ReleaseAtAllSwitches(tag));
-                self.record_ended_tag(now, tag);
+                self.ended_tags.record_unsent(now, tag);
             }
             return false;
         };
@@ -554,7 +541,7 @@
         }
         // An answer that crossed the release of its attempt: without another release the call would stay up
         // at the switch. An answer with a tag that was never sent is ignored.
-        if id.is_some() || self.ended_tags.contains_key(&tag) {
+        if id.is_some() || self.ended_tags.contains(tag) {
             self.release_at_switch(tag, switch);
         }
     }
@@ -565,9 +552,9 @@
             self.handle_load_report(switch, release.report);
             let may_have_been_answered =
                 matches!(release.cause, cause::NORMAL_CLEARING | cause::TEMPORARY_FAILURE);
-            if may_have_been_answered && !self.ended_tags.contains_key(&tag) {
+            if may_have_been_answered && !self.ended_tags.contains(tag) {
                 // A call that was set up before the last restart. Its caller may still take it for answered.
-                self.record_ended_tag(now, tag);
+                self.ended_tags.record_sent(now, tag);
                 self.commands.push(Command::ReleaseToCaller { connection: None, tag, cause: release.cause });
             }
             return;
@@ -758,14 +745,7 @@
             self.controller.handle(now, event, &mut self.actions);
         }
         self.execute_actions(now);
-        // Removes the tags that have expired and, if too many are left, the oldest.
-        let max_ended_tags = MAX_ENDED_TAGS_PER_CALL * self.limits.max_calls;
-        while self.ended_tag_expiries.front().is_some_and(|expiry| expiry.expires_at <= now)
-            || self.ended_tags.len() > max_ended_tags
-        {
-            let Some(expiry) = self.ended_tag_expiries.pop_front() else { break };
-            self.ended_tags.remove(&expiry.tag);
-        }
+        self.ended_tags.remove_expired(now);
     }
 
     fn execute_actions(&mut self, now: Micros) {
@@ -856,15 +836,12 @@
         self.call_ids.remove(&call.tag);
         let description_bytes = call.session_description.as_ref().map_or(0, String::len);
         self.unanswered.remove(call.connection, id, description_bytes);
-        self.record_ended_tag(now, call.tag);
-        Some(call)
-    }
-
-    /// Records the tag of an ended call. A tag that is recorded already keeps its expiry time.
-    fn record_ended_tag(&mut self, now: Micros, tag: Tag) {
-        if self.ended_tags.insert(tag, now).is_none() {
-            self.ended_tag_expiries.push_back(EndedTagExpiry { expires_at: now + ENDED_TAG_RETENTION, tag });
+        if call.next_attempt > 0 {
+            self.ended_tags.record_sent(now, call.tag);
+        } else {
+            self.ended_tags.record_unsent(now, call.tag);
         }
+        Some(call)
     }
 
     fn release_at_switch(&mut self, tag: Tag, switch: SwitchId) {
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -1,5 +1,6 @@
 //! Tests call control with its controller and the settings of the recorded exchanges, but without sockets.
 
+use super::ended_tags::ENDED_TAG_RETENTION;
 use super::*;
 use crate::interface::{Health, SwitchEntry};
 use crate::settings::{build_settings, flatten_json};
@@ -190,7 +191,6 @@
     fixture.now += ENDED_TAG_RETENTION + MILLISECOND;
     fixture.run_iteration();
     assert!(fixture.call_control.ended_tags.is_empty());
-    assert!(fixture.call_control.ended_tag_expiries.is_empty());
 }
 
 #[test]
@@ -318,3 +318,19 @@
     assert_eq!(fixture.call_control.unanswered_count_of(CALLER), 0);
     assert!(fixture.call_control.has_calls_at(SWITCH), "the answered call stays");
 }
+
+/// Guards against refused calls that displace the tags of calls that a switch knows: the late answer of a
+/// withdrawn call was not released, and the call stayed up at the switch.
+#[test]
+fn a_late_answer_is_released_after_a_flood_of_refused_calls() {
+    let mut fixture = Fixture::new();
+    fixture.set_up_call(1, 3000 * MILLISECOND);
+    fixture.call_control.handle_caller_release(fixture.now, 1);
+    for tag in 2..2000 {
+        let refused = SetUp { destination: 99, ..fixture.set_up(tag) };
+        fixture.offer(refused);
+    }
+    assert!(fixture.call_control.ended_tags.len() <= 201, "the call table holds 100 calls");
+    fixture.call_control.handle_answer(fixture.now, SWITCH, 1, None);
+    assert_eq!(fixture.call_control.commands, [Command::ReleaseAtSwitch { switch: SWITCH, tag: 1 }]);
+}
