Limit the releases of unknown calls that go to all switches

What callers saw: beside connections that release calls at random, 24 of 26 calls of a usual caller were refused and one was answered after 1.9 s; on the other side, a caller's connection was closed, with its open set-ups lost, once it had released 1,024 calls that had just ended, however long it took to get there.

Cause: the release of a call that is not in the call table goes to every switch, since the call may be from before the last start. The limit was one for each connection, never went down, and a new connection began anew, so the switches got all releases of all connections.

Change: `UnknownReleases` has two allowances, one for all callers that have had a call answered on their connection and an eighth of it for the others. The first is the number of calls that the call table may hold, as no more can have been up before the start, and both grow by one a second. A release beyond them is acknowledged and goes no further. No connection is closed for it: this takes the place of the limit of 1,024, which was less strict in sum and cost honest callers their set-ups.

Evidence: src/call/tests.rs, releases_of_unknown_calls_are_limited_...: 9,999 of 9,999 went to the switches before.

--- a/src/call.rs
+++ b/src/call.rs
@@ -14,9 +14,11 @@
 
 pub mod ended_tags;
 pub mod unanswered;
+pub mod unknown_releases;
 
 use ended_tags::EndedTags;
 use unanswered::{FreeRoom, UnansweredCalls};
+use unknown_releases::UnknownReleases;
 
 #[cfg(test)]
 mod tests;
@@ -301,6 +303,8 @@
     call_ids: HashMap<Tag, CallId>,
     last_call_id: u64,
     ended_tags: EndedTags,
+    /// The releases of calls in neither table that callers may still send.
+    unknown_releases: UnknownReleases,
     /// Probes without an answer.
     probes: HashMap<Tag, Probe>,
     last_probe_tag: Tag,
@@ -326,6 +330,7 @@
         let mut actions = Vec::new();
         let controller = Controller::new(settings, seed, now, &mut actions);
         let ended_tags = EndedTags::new(limits.max_calls);
+        let unknown_releases = UnknownReleases::new(now, limits.max_calls);
         let mut call_control = CallControl {
             controller,
             names,
@@ -336,6 +341,7 @@
             call_ids: HashMap::new(),
             last_call_id: 0,
             ended_tags,
+            unknown_releases,
             probes: HashMap::new(),
             last_probe_tag: seed,
             pending_events: vec![],
@@ -465,20 +471,17 @@
         });
     }
 
-    /// Takes a release from a caller, of an unanswered or an answered call. Returns false if the call is not
-    /// in the call table.
-    pub fn handle_caller_release(&mut self, now: Micros, tag: Tag) -> bool {
-        let Some(id) = self.call_ids.get(&tag).copied() else {
-            // A tag that has not been seen may belong to a call that was set up before the last restart and
-            // is still up at any of the switches.
-            if !self.ended_tags.contains(tag) {
-                self.commands.push(Command::ReleaseAtAllSwitches(tag));
-                self.ended_tags.record_unsent(now, tag);
-            }
-            return false;
-        };
-        self.release_for_caller(now, id);
-        true
+    /// Takes a release from a caller, of an unanswered or an answered call.
+    pub fn handle_caller_release(&mut self, now: Micros, caller: Caller, tag: Tag) {
+        if let Some(id) = self.call_ids.get(&tag).copied() {
+            return self.release_for_caller(now, id);
+        }
+        // A tag that has not been seen may belong to a call that was set up before the last restart and is
+        // still up at any of the switches.
+        if !self.ended_tags.contains(tag) && self.unknown_releases.take(now, caller) {
+            self.commands.push(Command::ReleaseAtAllSwitches(tag));
+            self.ended_tags.record_unsent(now, tag);
+        }
     }
 
     /// A caller's connection has closed: its unanswered calls are released. Answered calls stay up, as they
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -186,7 +186,7 @@
     let command = Command::ReleaseToCaller { connection: None, tag: 5, cause: cause::NORMAL_CLEARING };
     fixture.call_control.handle_switch_release(fixture.now, SWITCH, 5, release());
     fixture.call_control.handle_switch_release(fixture.now, SWITCH, 5, release());
-    fixture.call_control.handle_caller_release(fixture.now, 5);
+    fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 5);
     assert_eq!(fixture.run_iteration(), [command]);
     fixture.now += ENDED_TAG_RETENTION + MILLISECOND;
     fixture.run_iteration();
@@ -223,7 +223,7 @@
     fixture.call_control.handle_answer(fixture.now, SWITCH, 1, None);
     fixture.run_iteration();
     assert!(matches!(set_up_with_description(&mut fixture, 3)[..], [Command::SetUp { tag: 3, .. }]));
-    fixture.call_control.handle_caller_release(fixture.now, 3);
+    fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 3);
     assert_eq!(fixture.call_control.unanswered.description_bytes(), 0);
 }
 
@@ -257,10 +257,10 @@
     // Withdrawn, before and after its set-up was sent.
     let withdrawn = fixture.set_up(3);
     fixture.call_control.handle_set_up(fixture.now, TRUSTED_CALLER, withdrawn).unwrap();
-    fixture.call_control.handle_caller_release(fixture.now, 3);
+    fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 3);
     let withdrawn = fixture.set_up(4);
     assert!(matches!(fixture.offer(withdrawn)[..], [Command::SetUp { tag: 4, .. }]));
-    fixture.call_control.handle_caller_release(fixture.now, 4);
+    fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 4);
     // Refused by the switch, and answered.
     let congested = fixture.set_up(5);
     fixture.offer(congested);
@@ -279,7 +279,7 @@
     fixture.call_control.handle_connection_lost(SWITCH, fixture.now);
     fixture.now += 10 * MILLISECOND;
     fixture.run_iteration();
-    fixture.call_control.handle_caller_release(fixture.now, 7);
+    fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 7);
     fixture.now += 10 * MILLISECOND;
     fixture.run_iteration();
     assert_eq!(fixture.call_control.timers.len(), timers_before);
@@ -325,7 +325,7 @@
 fn a_late_answer_is_released_after_a_flood_of_refused_calls() {
     let mut fixture = Fixture::new();
     fixture.set_up_call(1, 3000 * MILLISECOND);
-    fixture.call_control.handle_caller_release(fixture.now, 1);
+    fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 1);
     for tag in 2..2000 {
         let refused = SetUp { destination: 99, ..fixture.set_up(tag) };
         fixture.offer(refused);
@@ -334,3 +334,22 @@
     fixture.call_control.handle_answer(fixture.now, SWITCH, 1, None);
     assert_eq!(fixture.call_control.commands, [Command::ReleaseAtSwitch { switch: SWITCH, tag: 1 }]);
 }
+
+/// Guards against callers that release calls at random: each release went to every switch, and the switches
+/// were too busy for the calls of others.
+#[test]
+fn releases_of_unknown_calls_are_limited_and_leave_those_of_trusted_callers_through() {
+    let mut fixture = Fixture::new();
+    let flooding = Caller { connection: ConnectionId(2), is_trusted: false };
+    for tag in 1..10_000 {
+        fixture.call_control.handle_caller_release(fixture.now, flooding, tag);
+    }
+    let commands = std::mem::take(&mut fixture.call_control.commands);
+    assert_eq!(commands.len(), 12, "an eighth of the 100 calls that the call table holds");
+    fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 20_000);
+    fixture.call_control.handle_caller_release(fixture.now, flooding, 20_001);
+    assert_eq!(fixture.call_control.commands, [Command::ReleaseAtAllSwitches(20_000)]);
+    fixture.now += SECOND;
+    fixture.call_control.handle_caller_release(fixture.now, flooding, 20_002);
+    assert_eq!(fixture.call_control.commands[1..], [Command::ReleaseAtAllSwitches(20_002)]);
+}
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -31,9 +31,6 @@
 const RELEASE_FALLBACK_DELAY: Micros = 500 * MILLISECOND;
 /// A connection is closed when it has sent this many set-ups that are invalid or have a tag that is in use.
 const SET_UP_ERROR_LIMIT: u32 = 16;
-/// A connection that releases more unknown calls than this is closed. After a restart of the gatekeeper, all
-/// calls that were set up before it are unknown.
-const MAX_UNKNOWN_RELEASES: u32 = 1024;
 /// Most unanswered calls on a connection on which no call has been answered yet; further set-ups are
 /// rejected. Only a caller that sends without reading the replies exceeds the limit.
 const MAX_UNANSWERED_BEFORE_FIRST_ANSWER: usize = 128;
@@ -71,8 +68,6 @@
     incomplete_since: Option<Micros>,
     /// Number of set-ups that were invalid or had a tag that was in use.
     set_up_errors: u32,
-    /// Number of releases of unknown calls.
-    unknown_releases: u32,
 }
 
 impl CallerConnection {
@@ -157,7 +152,6 @@
                     last_active_at: now,
                     incomplete_since: None,
                     set_up_errors: 0,
-                    unknown_releases: 0,
                 };
                 self.connections.insert(id, caller);
             }
@@ -487,19 +481,10 @@
         match message.message_type {
             message_type::SET_UP => return self.handle_set_up_message(now, id, &message, trust),
             message_type::RELEASE if tag != 0 => {
-                let known = self.call_control.handle_caller_release(now, tag);
+                let caller = Caller { connection: id, is_trusted: trust == TrustLevel::AnsweredCall };
+                self.call_control.handle_caller_release(now, caller, tag);
                 self.callers.write_message(id, &Message::new(message_type::RELEASE_COMPLETE, tag));
                 self.callers.record_activity(now, id, trust);
-                if !known && let Some(caller) = self.callers.connections.get_mut(&id) {
-                    // Limits the load on the switches: the release of an unknown call is sent to all of them,
-                    // since the call may be up at any one.
-                    caller.unknown_releases += 1;
-                    if caller.unknown_releases > MAX_UNKNOWN_RELEASES {
-                        let reason = format!("it released more than {MAX_UNKNOWN_RELEASES} unknown calls");
-                        self.close_caller_connection_with_reason(id, &reason);
-                        return false;
-                    }
-                }
             }
             message_type::HEALTH_CHECK => {
                 // The health checks that wait until the gatekeeper is ready are bounded by the limit on
