Limit what the buffers of all callers' connections hold together

What callers saw: with many connections that each leave a long message incomplete, or don't read their replies, the gatekeeper goes over its memory limit and is killed with the open set-ups of all.

Cause: the buffers were bounded for each connection only.

Change: unsent replies and incomplete messages of all callers together may take an eighth of the memory. Beyond it the connections that hold most of it are closed, those first on which no call was answered. The limit for each connection stays, so that one alone can still have two long messages unsent.

The test of the resource limits counts this limit in the place of the sum over all connections, which is no longer the bound, and now also covers 1,024 sockets with 32 MB, where the sum over all connections failed it.

--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -9,6 +9,7 @@
 use crate::interface::{ExchangeNumber, MILLISECOND, Micros, SECOND};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -91,12 +92,20 @@
     waiting_since: Micros,
 }
 
+/// Limits on the bytes that the connections of callers hold.
+#[derive(Clone, Copy, Debug)]
+pub struct BufferLimits {
+    /// Unsent bytes of each connection.
+    pub unsent_per_connection: usize,
+    /// Unsent bytes and incomplete messages of all connections together.
+    pub total: usize,
+}
+
 /// All connections from callers.
 pub struct Callers {
     loop_handle: LoopHandle<'static, Gatekeeper>,
     max_connections: usize,
-    /// Limit on the output buffer of each connection.
-    max_unsent_bytes: usize,
+    limits: BufferLimits,
     connections: BTreeMap<ConnectionId, CallerConnection>,
     last_connection_id: u64,
     /// Health checks that have not been answered; they wait until the gatekeeper is ready.
@@ -110,11 +119,10 @@
 }
 
 impl Callers {
-    /// Listens on an address. At most `max_connections` are open at the same time, each with at most
-    /// `max_unsent_bytes` in its output buffer.
+    /// Listens on an address. At most `max_connections` are open at the same time.
     pub fn listen(
         loop_handle: LoopHandle<'static, Gatekeeper>, address: SocketAddr, max_connections: usize,
-        max_unsent_bytes: usize,
+        limits: BufferLimits,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
@@ -129,7 +137,7 @@
         Ok(Callers {
             loop_handle,
             max_connections,
-            max_unsent_bytes,
+            limits,
             connections: BTreeMap::new(),
             last_connection_id: 0,
             pending_health_checks: vec![],
@@ -143,7 +151,7 @@
         self.last_connection_id += 1;
         let id = ConnectionId(self.last_connection_id);
         let callback = move |gatekeeper: &mut Gatekeeper| gatekeeper.handle_caller_readiness(id);
-        match Connection::new(&self.loop_handle, stream, self.max_unsent_bytes, callback) {
+        match Connection::new(&self.loop_handle, stream, self.limits.unsent_per_connection, callback) {
             Ok(connection) => {
                 let caller = CallerConnection {
                     connection,
@@ -323,6 +331,33 @@
         to_close
     }
 
+    /// The connections to close because all together hold more bytes than the limit: those that hold the
+    /// most, of those with the lowest trust level.
+    pub fn connections_over_buffer_limit(&self) -> Vec<ConnectionId> {
+        let buffered_bytes = self.connections.values().map(|caller| caller.connection.buffered_bytes());
+        let mut excess = buffered_bytes.sum::<usize>().saturating_sub(self.limits.total);
+        if excess == 0 {
+            return vec![];
+        }
+        let mut by_size: Vec<(TrustLevel, Reverse<usize>, ConnectionId)> = self
+            .connections
+            .iter()
+            .map(|(id, caller)| (caller.trust, Reverse(caller.connection.buffered_bytes()), *id))
+            .collect();
+        by_size.sort_unstable();
+        let mut to_close = Vec::new();
+        for (_, Reverse(bytes), id) in by_size {
+            if excess == 0 {
+                break;
+            }
+            if bytes > 0 {
+                excess = excess.saturating_sub(bytes);
+                to_close.push(id);
+            }
+        }
+        to_close
+    }
+
     /// Sends the pending output of a connection and removes it. All connections are removed here, so that
     /// their registration and their pending health checks are always removed with them.
     fn close(&mut self, id: ConnectionId) {
@@ -552,6 +587,16 @@
         true
     }
 
+    /// Closes connections until all together hold no more bytes than the limit.
+    pub(super) fn enforce_caller_buffer_limit(&mut self) {
+        for id in self.callers.connections_over_buffer_limit() {
+            self.close_caller_connection_with_reason(
+                id,
+                "it held most of the bytes that wait to be sent to callers or belong to incomplete messages",
+            );
+        }
+    }
+
     /// Closes a caller's connection, which releases the unanswered calls on it.
     pub(super) fn close_caller_connection(&mut self, id: ConnectionId) {
         self.callers.close(id);
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -172,6 +172,11 @@
         result
     }
 
+    /// The bytes in both buffers.
+    pub fn buffered_bytes(&self) -> usize {
+        self.input_buffer.len() + self.output_buffer.len()
+    }
+
     /// Returns true if no output is waiting to be sent.
     pub fn is_flushed(&self) -> bool {
         self.output_buffer.is_empty()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,7 +12,7 @@
 use crate::clock::Clock;
 use crate::interface::{HistoryLimits, MILLISECOND, Micros, SECOND, Settings};
 use crate::settings::{self, IndexedNames};
-use callers::Callers;
+use callers::{BufferLimits, Callers};
 use calloop::signals::{Signal, Signals};
 use calloop::timer::{TimeoutAction, Timer};
 use calloop::{Dispatcher, EventLoop};
@@ -103,9 +103,9 @@
     /// Connections of callers. In normal operation callers hold at most a third of the descriptors; a quarter
     /// is reserved for the switches, the control feed and the program itself.
     max_caller_connections: usize,
-    /// Unsent bytes per caller. If each caller is at this limit, they take an eighth of the memory together.
-    /// The limit is never below two messages of the largest size.
-    max_unsent_bytes_per_caller: usize,
+    /// Unsent bytes and incomplete messages of callers: an eighth of the memory for all together. Each may
+    /// have an equal part of it unsent, and never less than two messages of the largest size.
+    caller_buffers: BufferLimits,
     /// Bytes that are read in an iteration of the event loop from callers with an answered call.
     max_input_bytes: usize,
     /// Unsent bytes per switch, and the size of a line of the control feed.
@@ -124,8 +124,11 @@
         let eighth_of_memory = memory_bytes / 8;
         ResourceLimits {
             max_caller_connections,
-            max_unsent_bytes_per_caller: (eighth_of_memory / max_caller_connections)
-                .max(2 * binary::MAX_MESSAGE_BYTES),
+            caller_buffers: BufferLimits {
+                unsent_per_connection: (eighth_of_memory / max_caller_connections)
+                    .max(2 * binary::MAX_MESSAGE_BYTES),
+                total: eighth_of_memory,
+            },
             max_input_bytes: memory_bytes / 512,
             max_peer_buffer_bytes: memory_bytes / 64,
             max_calls: eighth_of_memory / BYTES_PER_CALL,
@@ -287,7 +290,7 @@
         loop_handle.clone(),
         config.listen_address,
         limits.max_caller_connections,
-        limits.max_unsent_bytes_per_caller,
+        limits.caller_buffers,
     )
     .map_err(|error| format!("cannot listen on {}: {error}", config.listen_address))?;
     let mut gatekeeper = Gatekeeper {
@@ -425,6 +428,7 @@
         {
             self.close_caller_connection(connection);
         }
+        self.enforce_caller_buffer_limit();
         for switch in self.switches.flush() {
             self.close_switch_connections(switch);
         }
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -24,18 +24,19 @@
 
 #[test]
 fn resource_limits_fit_within_the_configured_sockets_and_memory() {
-    for (sockets, memory_mb) in [(256, 32), (384, 48), (1024, 128), (1024, 192)] {
+    for (sockets, memory_mb) in [(256, 32), (1024, 32), (384, 48), (1024, 128), (1024, 192)] {
         let memory_bytes = memory_mb * 1_000_000;
         let limits = ResourceLimits::new(sockets, memory_bytes);
         // In normal operation callers hold a third; the switches, the feed and the program need the rest.
         assert!(limits.max_caller_connections > sockets / 3);
         let other_sockets = sockets - limits.max_caller_connections;
         assert!(other_sockets >= 64);
-        assert!(limits.max_unsent_bytes_per_caller >= binary::MAX_MESSAGE_BYTES);
-        let unsent_to_callers = limits.max_caller_connections * limits.max_unsent_bytes_per_caller;
+        assert!(limits.caller_buffers.unsent_per_connection >= binary::MAX_MESSAGE_BYTES);
+        // All connections together hold no more than this, however many there are.
+        let caller_buffers = limits.caller_buffers.total;
         let peer_buffers = 9 * limits.max_peer_buffer_bytes;
         let calls = limits.max_calls * 1024 + limits.max_description_bytes;
-        let total = unsent_to_callers + peer_buffers + calls;
+        let total = caller_buffers + peer_buffers + calls;
         assert!(total < memory_bytes * 3 / 4, "{memory_mb} MB");
     }
 }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -195,6 +195,16 @@
         }
     }
 
+    /// Executes the lines of a file.
+    fn execute_file(&mut self, name: &str) {
+        for (index, line) in read_exchange_file(name).lines().map(str::trim).enumerate() {
+            if !line.is_empty() && !line.starts_with("//") && !line.starts_with("with ") {
+                println!("{name}:{}: {}", index + 1, line.get(..MAX_PRINTED_BYTES).unwrap_or(line));
+                self.execute(line);
+            }
+        }
+    }
+
     /// Executes a line of an exchange.
     fn execute(&mut self, line: &str) {
         let (party, rest) = line.split_once(' ').expect("a party and an action");
@@ -320,16 +330,9 @@
     let exchange = read_exchange_file(name);
     let replacement = exchange.strip_prefix("with ").and_then(|rest| rest.lines().next()?.split_once(" => "));
     let mut runner = Runner::start(replacement);
-    let mut exited = false;
-    for file in ["start.txt", name] {
-        for (index, line) in read_exchange_file(file).lines().map(str::trim).enumerate() {
-            if !line.is_empty() && !line.starts_with("//") && !line.starts_with("with ") {
-                println!("{file}:{}: {}", index + 1, line.get(..MAX_PRINTED_BYTES).unwrap_or(line));
-                runner.execute(line);
-                exited |= line.starts_with("exits");
-            }
-        }
-    }
+    runner.execute_file("start.txt");
+    runner.execute_file(name);
+    let exited = exchange.lines().any(|line| line.starts_with("exits"));
     assert!(exited || runner.program.try_wait().unwrap().is_none(), "the program has exited");
 }
 
@@ -381,6 +384,30 @@
     time_out
 }
 
+/// Guards against buffers that are bounded for each connection only: many connections that leave a long
+/// message incomplete took the program over its memory limit.
+#[test]
+fn incomplete_messages_of_many_connections_stay_within_the_memory_limit() {
+    let mut runner = Runner::start(Some(("\"memory_mb\": 192", "\"memory_mb\": 12")));
+    runner.execute_file("start.txt");
+    let incomplete = [vec![0x3f, 0xfe, 1], vec![b'x'; 16_000]].concat();
+    let mut connections = Vec::new();
+    for _ in 0..700 {
+        let mut connection = TcpStream::connect(&runner.caller_address).unwrap();
+        connection.write_all(&incomplete).unwrap();
+        connections.push(connection);
+    }
+    // Callers are read in turn: once these are answered, all of the connections have been read.
+    runner.execute("c2 opens");
+    for _ in 0..10 {
+        runner.execute("c2 > #(34 00000000000000ac d0#(00))");
+        runner.execute("c2 < #(35 00000000000000ac d0#(01))");
+    }
+    runner.execute("memory < 12 MB");
+    runner.execute(r#"c2 > #(01 0000000000000001 b4#("check") b6#("3000") bc#("7") be#("dest:1"))"#);
+    runner.execute(r#"s1 < {"verb":"START","tag":"0000000000000001",*"#);
+}
+
 #[test]
 fn invalid_configuration_gives_one_line_of_error_and_exit_code_1() {
     let without_group_size = read_exchange_file("config.json").replace("\"groupSize\": 3,", "");
