Limit the health checks of a connection that wait for readiness

Before it is ready, a gatekeeper holds health checks back. One connection could fill the list, and the check of the front, which directs calls to a gatekeeper that has passed one, was never answered.

Cause: the list had one limit for all, the number of connections.

Change: a connection may have eight checks in the list; further ones are not answered.

--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -35,6 +35,8 @@
 /// Most unanswered calls on a connection on which no call has been answered yet; further set-ups are
 /// rejected. Only a caller that sends without reading the replies exceeds the limit.
 const MAX_UNANSWERED_BEFORE_FIRST_ANSWER: usize = 128;
+/// Most health checks of a connection that wait until the gatekeeper is ready.
+const MAX_PENDING_HEALTH_CHECKS_PER_CONNECTION: usize = 8;
 /// Most bytes that are read at once of a connection on which no call has been answered yet, so that many of
 /// them are read in an iteration.
 const UNTRUSTED_READ_CHUNK_BYTES: usize = 4 * 1024;
@@ -290,6 +292,15 @@
         }
     }
 
+    /// Adds a health check, which waits until the gatekeeper is ready. A connection that has sent too many
+    /// gets no answer to further ones, so that those of the others are answered.
+    fn add_health_check(&mut self, id: ConnectionId, tag: Tag) {
+        let from_same = self.pending_health_checks.iter().filter(|check| check.connection_id == id);
+        if from_same.count() < MAX_PENDING_HEALTH_CHECKS_PER_CONNECTION {
+            self.pending_health_checks.push(HealthCheck { connection_id: id, tag });
+        }
+    }
+
     /// Answers all pending health checks with the same result.
     pub fn answer_health_checks(&mut self, passed: bool) {
         for check in std::mem::take(&mut self.pending_health_checks) {
@@ -522,11 +533,7 @@
                 self.callers.record_activity(now, id, trust);
             }
             message_type::HEALTH_CHECK => {
-                // The health checks that wait until the gatekeeper is ready are bounded by the limit on
-                // connections. Those beyond it are not answered.
-                if self.callers.pending_health_checks.len() < self.callers.max_connections {
-                    self.callers.pending_health_checks.push(HealthCheck { connection_id: id, tag });
-                }
+                self.callers.add_health_check(id, tag);
                 self.callers.record_activity(now, id, TrustLevel::ValidMessage);
             }
             message_type::RELEASE_COMPLETE | message_type::PROGRESS => {}
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -408,6 +408,23 @@
     runner.execute(r#"s1 < {"verb":"START","tag":"0000000000000001",*"#);
 }
 
+/// Guards against health checks of one connection that keep those of the others from being answered: the
+/// gatekeeper would get no calls.
+#[test]
+fn health_checks_of_one_connection_leave_room_for_those_of_others() {
+    let mut runner = Runner::start(Some(("\"sockets\": 1024", "\"sockets\": 16")));
+    let start = read_exchange_file("start.txt");
+    let (before_first_check, rest) = start.split_once("c1 > ").unwrap();
+    before_first_check.lines().filter(|line| !line.starts_with("//")).for_each(|line| runner.execute(line));
+    runner.execute("c2 opens");
+    (0..100).for_each(|_| runner.execute("c2 > #(34 00000000000000bb d0#(00))"));
+    // The rejection shows that all messages before its set-up have been handled.
+    runner.execute(r#"c2 > #(01 00000000000000a2 b4#("other") b6#("3000") bc#("7") be#("dest:1"))"#);
+    runner.execute("c2 < #(0c 00000000000000a2 d0#(64))");
+    let rest = format!("c1 > {rest}");
+    rest.lines().filter(|line| !line.starts_with("//")).for_each(|line| runner.execute(line));
+}
+
 #[test]
 fn invalid_configuration_gives_one_line_of_error_and_exit_code_1() {
     let without_group_size = read_exchange_file("config.json").replace("\"groupSize\": 3,", "");
