Limit what waits to be sent to all switches and callers together

While many switches don't read or can't be reached, what waits for them takes more than the memory; and releases of unknown calls took the places of those of real calls, which then stayed up at the switch.

Cause: unsent bytes and pending releases were bounded for each switch, at a 64th of the memory and at that divided by 16; 47 switches make 73% of the memory of unsent bytes alone. A release of an unknown call takes a place at every switch without a connection. Releases that wait for a caller were 65,536 at most, whatever the memory.

Change: all switches together may have an eighth of the memory unsent; beyond it the connections with most of it are closed, as one at its own limit is. Pending releases are bounded for all switches together, at two for each call that the call table may hold, and those of unknown calls may take half of that. Releases that wait for a caller are bounded by the calls of the call table. The unsent bytes of a replaced connection are freed, as nothing more is sent on it. Callers and switches use one function to choose the connections to close.

--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -2,6 +2,7 @@
 //! binary protocol.
 
 use super::binary::{self, Message, message_type, parameter_code};
+use super::buffer_limit::{BufferedConnection, connections_over_limit};
 use super::link::{Connection, READ_CHUNK_BYTES, ReadStatus};
 use super::pending_reads::PendingRead;
 use super::{Gatekeeper, log};
@@ -9,13 +10,10 @@
 use crate::interface::{ExchangeNumber, MILLISECOND, Micros, SECOND};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
-/// Most releases that wait for a caller to connect; further ones are dropped.
-const MAX_PENDING_RELEASES: usize = 65_536;
 /// Most connections that are accepted in one iteration of the event loop. In a flood of connections, those
 /// already accepted are read, and the unused ones recognised, before more are accepted.
 const MAX_ACCEPTS_PER_ITERATION: usize = 16;
@@ -112,6 +110,7 @@
     last_connection_id: u64,
     /// Health checks that have not been answered; they wait until the gatekeeper is ready.
     pending_health_checks: Vec<HealthCheck>,
+    max_pending_releases: usize,
     /// Releases for which there was no suitable connection, oldest first.
     pending_releases: VecDeque<PendingRelease>,
     /// Number of connections closed with a reason since the last log line about them.
@@ -121,10 +120,11 @@
 }
 
 impl Callers {
-    /// Listens on an address. At most `max_connections` are open at the same time.
+    /// Listens on an address. At most `max_connections` are open at the same time, and at most
+    /// `max_pending_releases` releases wait for one; further ones are dropped.
     pub fn listen(
         loop_handle: LoopHandle<'static, Gatekeeper>, address: SocketAddr, max_connections: usize,
-        limits: BufferLimits,
+        limits: BufferLimits, max_pending_releases: usize,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
@@ -143,6 +143,7 @@
             connections: BTreeMap::new(),
             last_connection_id: 0,
             pending_health_checks: vec![],
+            max_pending_releases,
             pending_releases: VecDeque::new(),
             unlogged_closes: 0,
             last_close_reason: String::new(),
@@ -253,11 +254,12 @@
             |id: &ConnectionId| self.connections.get(id).is_some_and(|caller| !caller.half_closed);
         match id.filter(is_fully_open).or_else(|| self.best_connection(TrustLevel::ValidMessage)) {
             Some(id) => self.send_release(id, tag, cause),
-            None if self.pending_releases.len() < MAX_PENDING_RELEASES => {
+            None if self.pending_releases.len() < self.max_pending_releases => {
                 self.pending_releases.push_back(PendingRelease { tag, cause, waiting_since: now });
             }
             None => log(&format!(
-                "release of call {tag:016x} dropped: {MAX_PENDING_RELEASES} wait for a caller to connect"
+                "release of call {tag:016x} dropped: {} wait for a caller to connect",
+                self.max_pending_releases
             )),
         }
     }
@@ -345,28 +347,12 @@
     /// The connections to close because all together hold more bytes than the limit: those that hold the
     /// most, of those with the lowest trust level.
     pub fn connections_over_buffer_limit(&self) -> Vec<ConnectionId> {
-        let buffered_bytes = self.connections.values().map(|caller| caller.connection.buffered_bytes());
-        let mut excess = buffered_bytes.sum::<usize>().saturating_sub(self.limits.total);
-        if excess == 0 {
-            return vec![];
-        }
-        let mut by_size: Vec<(TrustLevel, Reverse<usize>, ConnectionId)> = self
-            .connections
-            .iter()
-            .map(|(id, caller)| (caller.trust, Reverse(caller.connection.buffered_bytes()), *id))
-            .collect();
-        by_size.sort_unstable();
-        let mut to_close = Vec::new();
-        for (_, Reverse(bytes), id) in by_size {
-            if excess == 0 {
-                break;
-            }
-            if bytes > 0 {
-                excess = excess.saturating_sub(bytes);
-                to_close.push(id);
-            }
-        }
-        to_close
+        let connections = self.connections.iter().map(|(id, caller)| BufferedConnection {
+            id: *id,
+            rank: caller.trust,
+            bytes: caller.connection.buffered_bytes(),
+        });
+        connections_over_limit(connections, self.limits.total)
     }
 
     /// Sends the pending output of a connection and removes it. All connections are removed here, so that
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The gatekeeper on sockets: a single-threaded event loop and the connections registered with it.
 
 pub mod binary;
+pub mod buffer_limit;
 pub mod callers;
 pub mod feed;
 pub mod lines;
@@ -23,7 +24,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
-use switches::Switches;
+use switches::{SwitchLimits, Switches};
 
 #[cfg(test)]
 mod tests;
@@ -62,6 +63,9 @@
 /// Memory that a call takes in call control and the controller, approximately.
 const BYTES_PER_CALL: usize = 1024;
 
+/// Most releases that wait for a connection to a switch, as a multiple of the calls that the call table may
+/// hold: a call may have to be released at more than one.
+const MAX_PENDING_RELEASES_PER_CALL: usize = 2;
 /// Memory that the controller takes for a called number that it keeps, approximately.
 const BYTES_PER_CALLED_NUMBER: usize = 128;
 
@@ -108,8 +112,12 @@
     caller_buffers: BufferLimits,
     /// Bytes that are read in an iteration of the event loop from callers with an answered call.
     max_input_bytes: usize,
-    /// Unsent bytes per switch, and the size of a line of the control feed.
-    max_peer_buffer_bytes: usize,
+    /// The size of a line of the control feed.
+    max_feed_buffer_bytes: usize,
+    /// What the connections to switches hold: an eighth of the memory for all together.
+    switches: SwitchLimits,
+    /// Releases that wait for a caller to connect. Each is of a call that was in the call table.
+    pending_releases_to_callers: usize,
     /// Calls, answered or not. At this limit they take about an eighth of the memory.
     max_calls: usize,
     /// Total bytes of the session descriptions that unanswered calls hold.
@@ -122,6 +130,7 @@
     fn new(max_sockets: usize, memory_bytes: usize) -> Self {
         let max_caller_connections = (max_sockets - max_sockets / 4).max(MIN_CALLER_CONNECTIONS);
         let eighth_of_memory = memory_bytes / 8;
+        let max_calls = eighth_of_memory / BYTES_PER_CALL;
         ResourceLimits {
             max_caller_connections,
             caller_buffers: BufferLimits {
@@ -130,8 +139,14 @@
                 total: eighth_of_memory,
             },
             max_input_bytes: memory_bytes / 512,
-            max_peer_buffer_bytes: memory_bytes / 64,
-            max_calls: eighth_of_memory / BYTES_PER_CALL,
+            max_feed_buffer_bytes: memory_bytes / 64,
+            switches: SwitchLimits {
+                unsent_per_switch: memory_bytes / 64,
+                total_unsent: eighth_of_memory,
+                pending_releases: MAX_PENDING_RELEASES_PER_CALL * max_calls,
+            },
+            pending_releases_to_callers: max_calls,
+            max_calls,
             max_description_bytes: eighth_of_memory,
             history: HistoryLimits {
                 called_numbers: memory_bytes / 32 / BYTES_PER_CALLED_NUMBER,
@@ -291,6 +306,7 @@
         config.listen_address,
         limits.max_caller_connections,
         limits.caller_buffers,
+        limits.pending_releases_to_callers,
     )
     .map_err(|error| format!("cannot listen on {}: {error}", config.listen_address))?;
     let mut gatekeeper = Gatekeeper {
@@ -302,9 +318,9 @@
             config.switch_connect_timeout,
             config.switch_idle_timeout,
             own_exchange,
-            limits.max_peer_buffer_bytes,
+            limits.switches,
         ),
-        feed: ControlFeed::new(loop_handle.clone(), config.feed_address, limits.max_peer_buffer_bytes),
+        feed: ControlFeed::new(loop_handle.clone(), config.feed_address, limits.max_feed_buffer_bytes),
         pending_reads: PendingReads::new(limits.max_input_bytes),
         timer_deadline: None,
         ready: false,
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -12,6 +12,7 @@
 //! - `LOAD`: load report.
 //! - `PENDING`: progress of a set-up; ignored on receipt.
 
+use super::buffer_limit::{BufferedConnection, connections_over_limit};
 use super::lines::{self, Message};
 use super::link::{Connection, READ_CHUNK_BYTES, ReadStatus};
 use super::pending_reads::PendingRead;
@@ -156,11 +157,39 @@
 }
 
 impl Switch {
+    /// A switch that the list names since `now`, without a connection.
+    fn new(listed: ListedSwitch, now: Micros) -> Self {
+        Switch {
+            listed,
+            state: ConnectionState::Closed { reconnect_at: now },
+            queued_set_ups: vec![],
+            pending_releases: vec![],
+            reconnect_delay: MIN_RECONNECT_DELAY,
+            silent_since: now,
+            timer: None,
+            unreachable_since: None,
+            candidate: None,
+            replaced: None,
+            initial_state_known: false,
+        }
+    }
+
     fn has_address(&self) -> bool {
         self.listed.address.is_some()
     }
 }
 
+/// Limits on what the connections to switches hold.
+#[derive(Clone, Copy, Debug)]
+pub struct SwitchLimits {
+    /// Bytes that wait to be sent to one switch.
+    pub unsent_per_switch: usize,
+    /// Bytes that wait to be sent to all switches together.
+    pub total_unsent: usize,
+    /// Releases that wait for connections to switches.
+    pub pending_releases: usize,
+}
+
 /// All carrier switches.
 pub struct Switches {
     loop_handle: LoopHandle<'static, Gatekeeper>,
@@ -169,8 +198,7 @@
     idle_timeout: Micros,
     /// The gatekeeper's own exchange; there are no connections to its switches.
     own_exchange: ExchangeNumber,
-    /// Limit on the bytes that wait to be sent to one switch.
-    max_unsent_bytes: usize,
+    limits: SwitchLimits,
     /// The listed switches of other exchanges, without those that are [`Health::Gone`].
     by_id: BTreeMap<SwitchId, Switch>,
     /// The controller's ids of the switches, by their names in the control feed. Only this type translates
@@ -183,14 +211,14 @@
     /// Creates the collection, which does not hold any switches yet.
     pub fn new(
         loop_handle: LoopHandle<'static, Gatekeeper>, connect_timeout: Micros, idle_timeout: Micros,
-        own_exchange: ExchangeNumber, max_unsent_bytes: usize,
+        own_exchange: ExchangeNumber, limits: SwitchLimits,
     ) -> Self {
         Switches {
             loop_handle,
             connect_timeout,
             idle_timeout,
             own_exchange,
-            max_unsent_bytes,
+            limits,
             by_id: BTreeMap::new(),
             ids_by_name: HashMap::new(),
             last_id: 0,
@@ -236,28 +264,39 @@
 
     /// Releases an attempt or an answered call at a switch.
     pub fn release(&mut self, id: SwitchId, tag: Tag) {
-        if let Some(switch) = self.by_id.get_mut(&id) {
-            let queued_before = switch.queued_set_ups.len();
-            switch.queued_set_ups.retain(|set_up| set_up.tag != tag);
-            // A set-up that was still queued is unknown to the switch and needs no release.
-            let was_sent = switch.queued_set_ups.len() == queued_before;
-            if was_sent && !self.write_message(id, &release_message(tag)) {
-                // Without a connection the release is kept until there is one, as the call would otherwise
-                // stay up at the switch. The limit on unsent bytes bounds the total length of the tags kept.
-                let max_pending = self.max_unsent_bytes / release_message(tag).tag.len();
-                if let Some(switch) = self.by_id.get_mut(&id)
-                    && switch.pending_releases.len() < max_pending
-                {
-                    switch.pending_releases.push(tag);
-                }
-            }
+        self.release_within(id, tag, self.limits.pending_releases);
+    }
+
+    /// Releases an attempt or a call at a switch, or keeps the release until there is a connection if fewer
+    /// than `max_pending` are kept for all switches.
+    fn release_within(&mut self, id: SwitchId, tag: Tag, max_pending: usize) {
+        let Some(switch) = self.by_id.get_mut(&id) else { return };
+        let queued_before = switch.queued_set_ups.len();
+        switch.queued_set_ups.retain(|set_up| set_up.tag != tag);
+        // A set-up that was still queued is unknown to the switch and needs no release.
+        let was_sent = switch.queued_set_ups.len() == queued_before;
+        if !was_sent || self.write_message(id, &release_message(tag)) {
+            return;
+        }
+        // Without a connection the release is kept until there is one, as the call would otherwise stay up at
+        // the switch.
+        if self.pending_release_count() < max_pending
+            && let Some(switch) = self.by_id.get_mut(&id)
+        {
+            switch.pending_releases.push(tag);
         }
     }
 
-    /// Releases a call at every switch.
+    fn pending_release_count(&self) -> usize {
+        self.by_id.values().map(|switch| switch.pending_releases.len()).sum()
+    }
+
+    /// Releases a call at every switch. It may be up at none of them, so such releases leave half of the
+    /// limit on pending ones to those of known calls.
     pub fn release_at_all(&mut self, tag: Tag) {
         let ids: Vec<SwitchId> = self.by_id.keys().copied().collect();
-        ids.into_iter().for_each(|id| self.release(id, tag));
+        let max_pending = self.limits.pending_releases / 2;
+        ids.into_iter().for_each(|id| self.release_within(id, tag, max_pending));
     }
 
     /// Sends a probe to a switch. It is not sent if there is no open connection.
@@ -279,8 +318,32 @@
                 failed.push(*id);
             }
         }
+        for id in self.connections_over_buffer_limit() {
+            if let Some(switch) = self.by_id.get(&id) {
+                log(&format!(
+                    "switch {}: it does not read, and most of the bytes that wait to be sent to switches are for it",
+                    switch.listed.name
+                ));
+                failed.push(id);
+            }
+        }
         failed
     }
+
+    /// The switches whose open connections are to be closed because all together hold more unsent bytes than
+    /// the limit.
+    fn connections_over_buffer_limit(&self) -> Vec<SwitchId> {
+        let unsent_bytes = |switch: &Switch| match &switch.state {
+            ConnectionState::Open(open) => open.connection.buffered_bytes(),
+            _ => 0,
+        };
+        let connections = self.by_id.iter().map(|(id, switch)| BufferedConnection {
+            id: *id,
+            rank: (),
+            bytes: unsent_bytes(switch),
+        });
+        connections_over_limit(connections, self.limits.total_unsent)
+    }
 }
 
 impl Gatekeeper {
@@ -322,19 +385,7 @@
                 "switch {} has id {} and serves exchange {}",
                 listed.name, id.0, listed.exchange_number
             ));
-            Switch {
-                listed: listed.clone(),
-                state: ConnectionState::Closed { reconnect_at: now },
-                queued_set_ups: vec![],
-                pending_releases: vec![],
-                reconnect_delay: MIN_RECONNECT_DELAY,
-                silent_since: now,
-                timer: None,
-                unreachable_since: None,
-                candidate: None,
-                replaced: None,
-                initial_state_known: false,
-            }
+            Switch::new(listed.clone(), now)
         });
         switch.listed = listed.clone();
         let Some(before) = before else { return self.connect_switch(id) };
@@ -426,7 +477,7 @@
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let ConnectionState::Closed { .. } = switch.state else { return };
         let Some(address) = switch.listed.address else { return };
-        let max_unsent_bytes = self.switches.max_unsent_bytes;
+        let max_unsent_bytes = self.switches.limits.unsent_per_switch;
         match Connection::connect(&self.switches.loop_handle, address, max_unsent_bytes, move |gatekeeper| {
             gatekeeper.handle_switch_readiness(id);
         }) {
@@ -503,7 +554,7 @@
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let Some(address) = switch.listed.address else { return };
         let deadline = now + self.switches.connect_timeout;
-        let max_unsent_bytes = self.switches.max_unsent_bytes;
+        let max_unsent_bytes = self.switches.limits.unsent_per_switch;
         match Connection::connect(&self.switches.loop_handle, address, max_unsent_bytes, move |gatekeeper| {
             gatekeeper.handle_switch_readiness(id);
         }) {
@@ -546,7 +597,9 @@
         let Some(candidate) = switch.candidate.take() else { return };
         log(&format!("switch {}: set-ups are not answered; a new connection takes over", switch.listed.name));
         let open = ConnectionState::Open(OpenConnection::new(candidate.connection, now));
-        if let ConnectionState::Open(old) = std::mem::replace(&mut switch.state, open) {
+        if let ConnectionState::Open(mut old) = std::mem::replace(&mut switch.state, open) {
+            // Nothing more is sent on it.
+            old.connection.output_buffer().clear();
             switch.replaced = Some(ReplacedConnection { connection: old.connection, replaced_at: now });
             // The old connection was at fault only if the switch had responded on it before. If it never did,
             // the switch itself may be at fault.
--- a/src/net/switches/tests.rs
+++ b/src/net/switches/tests.rs
@@ -20,3 +20,28 @@
         assert_eq!(set_time_left(&mut message, time_left).field_text("left").as_deref(), Some(text));
     }
 }
+
+/// Guards against releases of unknown calls, which go to all switches, that take the places of those of known
+/// calls while the switches cannot be reached.
+#[test]
+fn pending_releases_of_unknown_calls_leave_room_for_those_of_known_calls() {
+    let event_loop: calloop::EventLoop<'static, Gatekeeper> = calloop::EventLoop::try_new().unwrap();
+    let limits = SwitchLimits { unsent_per_switch: 1000, total_unsent: 1000, pending_releases: 20 };
+    let mut switches = Switches::new(event_loop.handle(), SECOND, SECOND, 0, limits);
+    for id in [1, 2] {
+        let listed = ListedSwitch {
+            name: id.to_string(),
+            address: None,
+            exchange_number: 1,
+            health: Health::InService,
+            up_since: None,
+        };
+        switches.by_id.insert(SwitchId(id), Switch::new(listed, 0));
+    }
+    (0..1000).for_each(|tag| switches.release_at_all(tag));
+    (1000..2000).for_each(|tag| switches.release(SwitchId(1), tag));
+    let pending = |id: u64| &switches.by_id[&SwitchId(id)].pending_releases;
+    assert_eq!(pending(2)[..], [0, 1, 2, 3, 4]);
+    assert_eq!(pending(1)[..5], [0, 1, 2, 3, 4]);
+    assert_eq!(pending(1)[5..], (1000..1010).collect::<Vec<u64>>());
+}
