Forget an exchange some time after its last switch

Seen: found by asking of each table what frees an entry. Nothing freed the state of an exchange that the switch list no longer names.

Change: an exchange keeps its state for ten minutes after its last switch was forgotten, which is a minute after it left the list, so that a replacement still finds the traffic that its predecessor carried.

Evidence: src/control/tests.rs, an_exchange_is_forgotten_some_time_after_ its_last_switch: red without the line that removes it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -139,6 +139,8 @@
 const RESUBSCRIBE_DELAY: Micros = SECOND;
 /// How long the state of a switch is kept after it has begun to drain or is gone.
 const LEAVING_SWITCH_RETENTION: Micros = BASE_DELAY_WINDOW;
+/// How long the state of an exchange is kept for its next switch.
+const EXCHANGE_RETENTION: Micros = 600 * SECOND;
 
 // Timer tokens: the kind in the lowest two bits, the call's id above them.
 const TIMER_KIND_BITS: u32 = 2;
@@ -233,6 +235,8 @@
     /// Calls that this gatekeeper may send to a cold processor, as of `cold_budget_at`.
     cold_budget_calls: f64,
     cold_budget_at: Micros,
+    /// When the controller last knew of a switch there.
+    last_served_at: Micros,
 }
 
 /// A set-up delay, or a quantile of several.
@@ -839,6 +843,11 @@
                     switch.leaving_since.is_some_and(|since| since + LEAVING_SWITCH_RETENTION < now);
                 !left_long_ago || !switch.pending.is_empty()
             });
+            for switch in self.switches.values() {
+                let exchange = self.exchanges.entry(switch.entry.exchange_number);
+                exchange.and_modify(|exchange| exchange.last_served_at = now);
+            }
+            self.exchanges.retain(|_, exchange| exchange.last_served_at + EXCHANGE_RETENTION > now);
         }
     }
 
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -134,3 +134,31 @@
         0.0,
     );
 }
+
+/// Guards against state that is kept for each exchange that the switch list has ever named.
+#[test]
+fn an_exchange_is_forgotten_some_time_after_its_last_switch() {
+    let config: serde_json::Value =
+        serde_json::from_str(include_str!("../../tests/exchanges/config.json")).unwrap();
+    let pairs = crate::settings::flatten_json(&config["settings"]);
+    let (settings, _) = crate::settings::build_settings(&pairs).unwrap();
+    let mut actions = vec![];
+    let mut controller = Controller::new(settings, 7, NOW, &mut actions);
+    let mut list = |now: Micros, controller: &mut Controller, health: Health| {
+        let entry =
+            SwitchEntry { switch: SwitchId(1), zone_index: 0, exchange_number: 5, health, up_since: None };
+        controller.handle(now, Event::SwitchList(SwitchListUpdate::Changes(vec![entry])), &mut actions);
+        for second in 0..=LEAVING_SWITCH_RETENTION / SECOND + 1 {
+            controller.handle(now + second * SECOND, Event::Timer(TIMER_TICK), &mut actions);
+        }
+        now + LEAVING_SWITCH_RETENTION
+    };
+    list(NOW, &mut controller, Health::InService);
+    let left_at = list(NOW + 1000 * SECOND, &mut controller, Health::Gone);
+    assert!(controller.switches.is_empty());
+    let mut actions = vec![];
+    controller.handle(left_at + EXCHANGE_RETENTION - SECOND, Event::Timer(TIMER_TICK), &mut actions);
+    assert_eq!(controller.exchanges.len(), 1);
+    controller.handle(left_at + EXCHANGE_RETENTION + SECOND, Event::Timer(TIMER_TICK), &mut actions);
+    assert!(controller.exchanges.is_empty());
+}
