--- a/src/control.rs
+++ b/src/control.rs
@@ -12,7 +12,6 @@
 //! has room beyond the trunk reservation. See docs/design.md for the source of the method and for the
 //! exceptions.
 
-use crate::fair_map::FairMap;
 use crate::interface::{
     Action, AttemptEnd, CallId, CallSource, DeduplicationScope, EndReason, Event, ExchangeNumber, Health,
     LoadReport, MILLISECOND, Micros, NewCall, Outcome, RepeatPolicy, SECOND, Settings, SwitchEntry, SwitchId,
@@ -21,7 +20,12 @@
 use rand_chacha::ChaCha8Rng;
 use rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
+
+mod called_numbers;
+mod remote_groups;
+
+use called_numbers::CalledNumbers;
+use remote_groups::{GroupKey, RemoteGroups};
 
 #[cfg(test)]
 mod tests;
@@ -85,11 +89,6 @@
 /// Most overdue set-ups to one far processor that count as overdue at the own processor, so that no single
 /// far processor determines the pressure of the own processor.
 const MAX_OVERDUE_PER_SWITCH: usize = 2;
-/// How long the controller relies on what it last saw of a group of circuits between two other exchanges:
-/// that it had room, or was full.
-const MIN_REMOTE_GROUP_VALIDITY: Micros = 8 * SECOND;
-/// A group found full again is taken for full for twice as long, up to this time: it may not exist at all.
-const MAX_REMOTE_GROUP_VALIDITY: Micros = 64 * SECOND;
 /// Trunk reservation: circuits of a group that are always kept free for direct calls.
 const MIN_RESERVED_CIRCUITS: f64 = 1.0;
 /// Trunk reservation: additional share of the group that is kept free when all direct calls are blocked.
@@ -124,14 +123,6 @@
 const BACK_OFF_TARGET_SHARE: f64 = 0.25;
 /// If no event was handled for this long although a tick was due, this process itself was stalled.
 const STALL_TIME: Micros = 10 * CONTROL_PERIOD;
-/// A call to the same number within this time of the first try of a call that was not answered is taken
-/// for its redial. Callers that do not mark their redials would otherwise get the full value of a call
-/// for which no earlier try is known.
-const REDIAL_WINDOW: Micros = 10 * SECOND;
-/// How long no calls are sent to a number whose lines were all busy.
-const MIN_BUSY_NUMBER_WAIT: Micros = SECOND;
-/// Longest wait for a busy number. The wait doubles each time that the number is found busy again.
-const MAX_BUSY_NUMBER_WAIT: Micros = 8 * SECOND;
 /// An unanswered call is ended this many batch intervals before its caller gives up, so that the rejection
 /// comes in time.
 const DEADLINE_MARGIN_BATCHES: Micros = 2;
@@ -154,11 +145,6 @@
     call.0 << TIMER_KIND_BITS | kind
 }
 
-/// Key of the group of circuits between two exchanges, the same for either order of its ends.
-fn group_key(one_end: ExchangeNumber, other_end: ExchangeNumber) -> (ExchangeNumber, ExchangeNumber) {
-    (one_end.min(other_end), one_end.max(other_end))
-}
-
 /// Weight that remains of an exponential average after `elapsed`.
 fn decay_factor(elapsed: Micros, time_constant_s: f64) -> f64 {
     (-(elapsed.max(0) as f64) / 1e6 / time_constant_s).exp()
@@ -461,26 +447,6 @@
     }
 }
 
-/// What is known of a group of circuits between two other exchanges.
-struct RemoteGroup {
-    had_room: bool,
-    valid_until: Micros,
-    /// For how long the last observation is valid from when it was made.
-    validity: Micros,
-}
-
-/// A number whose lines were all busy.
-struct BusyNumber {
-    /// No calls are sent to it before this time.
-    wait_until: Micros,
-    /// The wait; it doubles when the number is found busy again.
-    wait: Micros,
-}
-
-/// A hash of a called number: it takes the same memory however long the number is.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct NumberKey(u64);
-
 /// A route chosen for a call.
 struct Route {
     switch: SwitchId,
@@ -502,14 +468,9 @@
     /// When a call was last answered.
     last_answered_at: Micros,
     started_at: Micros,
-    /// Groups of circuits between other exchanges, by [`group_key`].
-    remote_groups: FairMap<(ExchangeNumber, ExchangeNumber), RemoteGroup>,
+    remote_groups: RemoteGroups,
     exchanges: BTreeMap<ExchangeNumber, Exchange>,
-    busy_numbers: FairMap<NumberKey, BusyNumber>,
-    /// Numbers of calls that were not answered, and when their callers first tried.
-    unsuccessful_numbers: FairMap<NumberKey, Micros>,
-    /// Makes the hashes of called numbers differ between instances.
-    number_hash_seed: u64,
+    called_numbers: CalledNumbers,
     /// Calls offered, by value in thousandths, the lowest first.
     offered_by_value: BTreeMap<i64, AverageRate>,
     /// Calls of each tenant for which no earlier try is known.
@@ -544,11 +505,9 @@
             own_processor,
             last_answered_at: now,
             started_at: now,
-            remote_groups: FairMap::new(history_limits.remote_groups),
+            remote_groups: RemoteGroups::new(history_limits.remote_groups),
             exchanges: BTreeMap::new(),
-            busy_numbers: FairMap::new(history_limits.called_numbers),
-            unsuccessful_numbers: FairMap::new(history_limits.called_numbers),
-            number_hash_seed: seed,
+            called_numbers: CalledNumbers::new(history_limits.called_numbers, seed),
             offered_by_value: BTreeMap::new(),
             tenant_calls,
             second_leg_attempts: AverageRate::default(),
@@ -595,13 +554,6 @@
         }
     }
 
-    fn number_key(&self, called_number: &str) -> NumberKey {
-        let mut hasher = DefaultHasher::new();
-        self.number_hash_seed.hash(&mut hasher);
-        called_number.hash(&mut hasher);
-        NumberKey(hasher.finish())
-    }
-
     /// A random number in [0, 1) with 53 random bits, the precision of an `f64`.
     fn random_unit(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
@@ -747,8 +699,8 @@
         source: CallSource,
     ) {
         let Some(switch) = self.switches.get(&tandem) else { return };
-        let group = group_key(switch.entry.exchange_number, destination);
-        self.record_remote_group(now, group, had_room, source);
+        let group = GroupKey::new(switch.entry.exchange_number, destination);
+        self.remote_groups.record(now, group, had_room, source);
         self.second_leg_attempts.add(now, TRAFFIC_TIME_CONSTANT_S, 1.0);
         self.second_leg_successes.add(now, TRAFFIC_TIME_CONSTANT_S, f64::from(had_room));
     }
@@ -756,28 +708,13 @@
     /// Records what a caller's set-up says of a group of circuits between two other exchanges. It proves
     /// nothing as long as no call of that caller was answered: whoever names groups at will must not keep
     /// others from their routes.
-    fn record_claimed_group(
-        &mut self, now: Micros, group: (ExchangeNumber, ExchangeNumber), had_room: bool, source: CallSource,
-    ) {
-        let is_listed = |exchange| self.exchanges.contains_key(exchange);
-        if source.is_trusted && is_listed(&group.0) && is_listed(&group.1) {
-            self.record_remote_group(now, group, had_room, source);
+    fn record_claimed_group(&mut self, now: Micros, group: GroupKey, had_room: bool, source: CallSource) {
+        let are_listed = group.ends().iter().all(|exchange| self.exchanges.contains_key(exchange));
+        if source.is_trusted && are_listed {
+            self.remote_groups.record(now, group, had_room, source);
         }
     }
 
-    /// Records whether a group of circuits between two other exchanges had room.
-    fn record_remote_group(
-        &mut self, now: Micros, group: (ExchangeNumber, ExchangeNumber), had_room: bool, source: CallSource,
-    ) {
-        let found_full_before = self.remote_groups.get(&group).filter(|group| !group.had_room);
-        let validity = match found_full_before {
-            Some(before) if !had_room => (before.validity * 2).min(MAX_REMOTE_GROUP_VALIDITY),
-            _ => MIN_REMOTE_GROUP_VALIDITY,
-        };
-        let seen = RemoteGroup { had_room, valid_until: now + validity, validity };
-        self.remote_groups.insert(group, seen, source);
-    }
-
     /// Upper bound of the base delay, so that a base delay learned during an overload does not hide the
     /// overload. With this bound, the delay at the target pressure is at most a third of the shortest
     /// set-up target, and at most the time after which a sender repeats a waiting set-up: repeated set-ups
@@ -835,9 +772,8 @@
         }
         if now % SECOND < CONTROL_PERIOD {
             // Once a second, remove the state that has expired.
-            self.busy_numbers.retain(|number| number.wait_until + MAX_BUSY_NUMBER_WAIT > now);
-            self.unsuccessful_numbers.retain(|first_tried_at| *first_tried_at + REDIAL_WINDOW > now);
-            self.remote_groups.retain(|group| group.valid_until + MAX_REMOTE_GROUP_VALIDITY > now);
+            self.called_numbers.remove_expired(now);
+            self.remote_groups.remove_expired(now);
             self.switches.retain(|_, switch| {
                 let left_long_ago =
                     switch.leaving_since.is_some_and(|since| since + LEAVING_SWITCH_RETENTION < now);
@@ -876,11 +812,9 @@
         let via_exchange = request.via_exchange;
         let transit = request.transit;
         let source = request.source;
-        let number_key = self.number_key(&request.called_number);
-        let number_is_busy = self.busy_numbers.get(&number_key).is_some_and(|number| number.wait_until > now);
-        let earlier_try_at = self.unsuccessful_numbers.remove(&number_key);
-        let recent_try_at = earlier_try_at.filter(|tried_at| !transit && now < tried_at + REDIAL_WINDOW);
-        let first_tried_at = recent_try_at.unwrap_or(now);
+        let number_is_busy = self.called_numbers.is_busy(now, &request.called_number);
+        let earlier_try_at = self.called_numbers.take_first_try(now, &request.called_number);
+        let first_tried_at = earlier_try_at.filter(|_| !transit).unwrap_or(now);
         let no_earlier_try_known = first_tried_at == now;
         let call = Call {
             request,
@@ -900,15 +834,14 @@
         if transit {
             // The call comes over this exchange because the group from its origin to its destination is full
             // or does not exist.
-            self.record_claimed_group(now, group_key(via_exchange, destination), false, source);
+            self.record_claimed_group(now, GroupKey::new(via_exchange, destination), false, source);
             return self.route(now, id, actions);
         }
         if via_exchange >= 0 {
             // The advice is seconds old. It counts as a group seen with room, unless that group was found
             // full since.
-            let group = group_key(via_exchange, destination);
-            let known = self.remote_groups.get(&group);
-            if known.is_none_or(|known| known.had_room || known.valid_until < now) {
+            let group = GroupKey::new(via_exchange, destination);
+            if !self.remote_groups.was_full(now, group) {
                 self.record_claimed_group(now, group, true, source);
             }
         }
@@ -1053,9 +986,8 @@
                 || class.eligible_pools.is_empty()
                 || class.eligible_pools.contains(exchange_number);
             let Some(tandem) = exchange.switch_in_service.filter(|_| is_eligible) else { continue };
-            let remote_group = self.remote_groups.get(&group_key(*exchange_number, destination));
-            let second_leg_had_room =
-                remote_group.filter(|group| group.valid_until > now).map(|group| group.had_room);
+            let second_leg = GroupKey::new(*exchange_number, destination);
+            let second_leg_had_room = self.remote_groups.had_room(now, second_leg);
             let has_room = second_leg_had_room != Some(false)
                 && self.free_circuits(tandem) >= circuits + self.reserved_circuits(now, tandem);
             if has_room && self.may_send(now, id, tandem, true) {
@@ -1286,9 +1218,9 @@
         let set_up_target = self.settings.classes[call.request.class_index].set_up_target;
         let time_to_target = call.first_tried_at + set_up_target - now;
         let source = call.request.source;
+        let called_number = call.request.called_number.clone();
         let destination = call.request.destination;
         let transit = call.request.transit;
-        let number_key = self.number_key(&self.calls[&id].request.called_number);
         self.remove_pending(id, switch);
         if matches!(outcome, Outcome::Completed | Outcome::Failed | Outcome::Congested | Outcome::Cancelled) {
             self.on_response(switch, actions);
@@ -1340,9 +1272,7 @@
                 attempt_again = self.calls[&id].attempt_count < 2;
             }
             (Outcome::Failed, EndReason::SubscriberBusy) => {
-                let known = self.busy_numbers.get(&number_key);
-                let wait = known.map_or(MIN_BUSY_NUMBER_WAIT, |b| (b.wait * 2).min(MAX_BUSY_NUMBER_WAIT));
-                self.busy_numbers.insert(number_key, BusyNumber { wait_until: now + wait, wait }, source);
+                self.called_numbers.record_busy(now, &called_number, source);
                 number_is_busy = true;
             }
             // A processor may fail most set-ups immediately. Where answers are quick, another attempt costs
@@ -1407,8 +1337,8 @@
             actions.push(Action::CancelTimer { token: timer_token(TIMER_DEADLINE, id) });
         }
         if call.state != CallState::Answered && !call.request.transit {
-            let number_key = self.number_key(&call.request.called_number);
-            self.unsuccessful_numbers.insert(number_key, call.first_tried_at, call.request.source);
+            let NewCall { called_number, source, .. } = &call.request;
+            self.called_numbers.record_unanswered(called_number, call.first_tried_at, *source);
         }
         match call.state {
             CallState::Attempting { switch, .. } => self.remove_pending(id, switch),
