Let no connection of a caller time out while its input waits to be read

A caller with part of a message, or with a first message, that waits for its turn beside a flood could reach the 2 s after which the rest of a message or a first one is missing, although all of it had arrived.

Cause: the time-out ran from what had been read, not from what had come.

Change: a connection that waits to be read is not timed out. One that sends nothing does not wait to be read, and times out as before.

Evidence: src/net/callers/tests.rs, a_connection_whose_input_waits_to_be_ read_does_not_time_out: red without the condition.

--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -4,7 +4,7 @@
 use super::binary::{self, Message, message_type, parameter_code};
 use super::buffer_limit::{BufferedConnection, connections_over_limit};
 use super::link::{Connection, READ_CHUNK_BYTES, ReadStatus};
-use super::pending_reads::PendingRead;
+use super::pending_reads::{PendingRead, PendingReads};
 use super::{Gatekeeper, log};
 use crate::call::{CallControl, Caller, ConnectionId, SetUp, SetUpError, Tag, TimerEvent, cause};
 use crate::interface::{ExchangeNumber, MILLISECOND, Micros, SECOND};
@@ -14,6 +14,9 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
+#[cfg(test)]
+mod tests;
+
 /// Most connections that are accepted in one iteration of the event loop. In a flood of connections, those
 /// already accepted are read, and the unused ones recognised, before more are accepted.
 const MAX_ACCEPTS_PER_ITERATION: usize = 16;
@@ -182,9 +185,10 @@
         evictable.min_by_key(|(_, caller)| (caller.trust, caller.last_active_at)).map(|(id, _)| *id)
     }
 
-    /// The connections to close because a time-out has expired, and the reasons.
+    /// The connections to close because a time-out has expired, and the reasons. A connection whose input
+    /// waits to be read is not late.
     fn timed_out_connections(
-        &self, now: Micros, call_control: &CallControl,
+        &self, now: Micros, call_control: &CallControl, pending_reads: &PendingReads,
     ) -> Vec<(ConnectionId, &'static str)> {
         let timed_out = |(id, caller): (&ConnectionId, &CallerConnection)| {
             let inactivity_timeout =
@@ -199,7 +203,8 @@
                 None
             }
         };
-        self.connections.iter().filter_map(timed_out).collect()
+        let is_read = |id: ConnectionId| !pending_reads.contains(PendingRead::Caller(id));
+        self.connections.iter().filter(|(id, _)| is_read(**id)).filter_map(timed_out).collect()
     }
 
     /// Records activity on a connection and raises its trust level to `trust`, if that is higher.
@@ -401,7 +406,8 @@
     /// next run.
     pub(super) fn run_caller_maintenance(&mut self) {
         let now = self.clock.now();
-        for (id, reason) in self.callers.timed_out_connections(now, &self.call_control) {
+        let timed_out = self.callers.timed_out_connections(now, &self.call_control, &self.pending_reads);
+        for (id, reason) in timed_out {
             self.close_caller_connection_with_reason(id, reason);
         }
         self.callers.send_pending_releases(now);
