Move second connections to a switch to a module of their own

Change: src/net/switches/replacement.rs holds them. No line of the logic has changed, only its place, the imports and the visibility.

--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -26,6 +26,10 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
+mod replacement;
+
+use replacement::{CandidateConnection, ReplacedConnection};
+
 #[cfg(test)]
 mod tests;
 
@@ -41,11 +45,6 @@
 /// connections of a machine that is down or cut off stay open and silent, but no new one can be established.
 /// Also how long the gatekeeper, before it is ready, waits for the first message on an open connection.
 const SILENCE_TIMEOUT: Micros = 1500 * MILLISECOND;
-/// If nothing has been received on a connection for this long after a set-up was sent, the connection itself
-/// may have failed. A second one is opened, and replaces the first if the switch sends a message on it.
-const RESPONSE_TIMEOUT: Micros = 150 * MILLISECOND;
-/// How long a replaced connection is still read, since a late answer may arrive on it.
-const REPLACED_CONNECTION_RETENTION: Micros = 3 * SECOND;
 /// Interval between checks of an open connection.
 const CHECK_INTERVAL: Micros = 50 * MILLISECOND;
 /// No set-up is sent on an idle connection that its switch is expected to close within this time, or within a
@@ -89,24 +88,6 @@
     }
 }
 
-/// A second connection to a switch that does not respond on the open one. It shows whether the switch can
-/// still be reached, and may replace the open connection.
-struct CandidateConnection {
-    connection: Connection,
-    started_at: Micros,
-    /// When the attempt to connect times out.
-    deadline: Micros,
-    is_established: bool,
-    /// Time from `started_at` until the switch sent its first message on this connection.
-    first_message_delay: Option<Micros>,
-}
-
-/// A connection that has been replaced by a candidate connection.
-struct ReplacedConnection {
-    connection: Connection,
-    replaced_at: Micros,
-}
-
 /// A carrier switch as the control feed describes it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedSwitch {
@@ -506,172 +487,6 @@
         }
     }
 
-    /// Checks whether the switch responds on its open connection, and tries or uses a candidate connection if
-    /// it does not.
-    fn check_open_connection(&mut self, id: SwitchId) {
-        let now = self.clock.now();
-        let has_calls = self.call_control.has_calls_at(id);
-        let oldest_attempt_sent_at = self.call_control.oldest_attempt_sent_at(id);
-        self.set_switch_timer(id, now + CHECK_INTERVAL);
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        let ConnectionState::Open(open) = &switch.state else { return };
-        // A switch that accepts connections and sends nothing must not keep the gatekeeper from being ready.
-        switch.initial_state_known |= now >= open.opened_at + SILENCE_TIMEOUT;
-        let response_is_overdue =
-            open.awaiting_response_since.is_some_and(|since| now >= since + RESPONSE_TIMEOUT);
-        // Only one replaced connection is kept at a time.
-        let needs_replacement = response_is_overdue && switch.replaced.is_none();
-        if !has_calls {
-            switch.silent_since = now;
-        }
-        let replaced_is_obsolete = switch.replaced.as_ref().is_some_and(|replaced| {
-            let retention_expired = now >= replaced.replaced_at + REPLACED_CONNECTION_RETENTION;
-            let has_no_attempts =
-                oldest_attempt_sent_at.is_none_or(|sent_at| sent_at >= replaced.replaced_at);
-            retention_expired || has_no_attempts
-        });
-        if replaced_is_obsolete {
-            self.close_replaced_connection(id);
-        }
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        let silent_for = now - switch.silent_since;
-        let is_silent = silent_for >= SILENCE_TIMEOUT;
-        match &switch.candidate {
-            Some(candidate) if !candidate.is_established && now < candidate.deadline => return,
-            Some(candidate) if candidate.first_message_delay.is_some() && needs_replacement => {
-                return self.replace_open_connection(id);
-            }
-            Some(candidate) if candidate.is_established && !is_silent => return,
-            None if !needs_replacement && !is_silent => return,
-            // A new candidate connection is opened below. The last one, if any, was not established in time,
-            // or the switch has been silent since then.
-            _ => self.close_candidate_connection(id),
-        }
-        // Establishing a candidate connection resets `silent_since`, so none was established in this time.
-        if silent_for >= SILENCE_TIMEOUT + UNREACHABLE_TIMEOUT {
-            return self.handle_silent_switch(id);
-        }
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        let Some(address) = switch.listed.address else { return };
-        let deadline = now + self.switches.connect_timeout;
-        let max_unsent_bytes = self.switches.limits.unsent_per_switch;
-        match Connection::connect(&self.switches.loop_handle, address, max_unsent_bytes, move |gatekeeper| {
-            gatekeeper.handle_switch_readiness(id);
-        }) {
-            Ok(connection) => {
-                switch.candidate = Some(CandidateConnection {
-                    connection,
-                    started_at: now,
-                    deadline,
-                    is_established: false,
-                    first_message_delay: None,
-                });
-            }
-            Err(error) => {
-                log(&format!("switch {}: a second connection cannot be opened: {error}", switch.listed.name));
-            }
-        }
-    }
-
-    /// A switch has been silent for too long, and no candidate connection could be established.
-    fn handle_silent_switch(&mut self, id: SwitchId) {
-        let now = self.clock.now();
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        log(&format!(
-            "switch {} is silent and no new connection to it can be established",
-            switch.listed.name
-        ));
-        // The switch counts as unreachable since the silence began, so that attempts to connect need not fail
-        // for another `UNREACHABLE_TIMEOUT` before its calls are released.
-        switch.unreachable_since = Some(switch.silent_since);
-        self.close_switch_connections_until(id, now);
-        self.call_control.handle_switch_down(now, id, now);
-    }
-
-    /// Puts the candidate connection in the place of an open connection on which nothing is received any more
-    /// although the switch is running. Set-ups sent on a failed connection that stays open would never be
-    /// answered.
-    fn replace_open_connection(&mut self, id: SwitchId) {
-        let now = self.clock.now();
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        let Some(candidate) = switch.candidate.take() else { return };
-        log(&format!("switch {}: set-ups are not answered; a new connection takes over", switch.listed.name));
-        let open = ConnectionState::Open(OpenConnection::new(candidate.connection, now));
-        if let ConnectionState::Open(mut old) = std::mem::replace(&mut switch.state, open) {
-            // Nothing more is sent on it.
-            old.connection.output_buffer().clear();
-            switch.replaced = Some(ReplacedConnection { connection: old.connection, replaced_at: now });
-            // The old connection was at fault only if the switch had responded on it before. If it never did,
-            // the switch itself may be at fault.
-            let response_time = candidate.first_message_delay.filter(|_| old.has_responded);
-            if let Some(response_time) = response_time {
-                self.call_control.handle_switch_responsive(id, response_time);
-            }
-        }
-    }
-
-    /// Closes the replaced connection and ends the attempts that were sent on it. Replaced connections are
-    /// closed nowhere else.
-    fn close_replaced_connection(&mut self, id: SwitchId) {
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        if let Some(replaced) = switch.replaced.take() {
-            replaced.connection.close(&self.switches.loop_handle);
-            self.call_control.handle_connection_lost(id, replaced.replaced_at);
-        }
-    }
-
-    /// Closes the candidate connection. Candidate connections are closed nowhere else.
-    fn close_candidate_connection(&mut self, id: SwitchId) {
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        if let Some(candidate) = switch.candidate.take() {
-            candidate.connection.close(&self.switches.loop_handle);
-        }
-    }
-
-    /// Reads the candidate connection and the replaced connection.
-    fn read_additional_connections(&mut self, id: SwitchId) {
-        let now = self.clock.now();
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        if let Some(candidate) = &mut switch.candidate {
-            match candidate.connection.check_connected() {
-                Ok(false) => {}
-                Ok(true) => {
-                    if !candidate.is_established {
-                        candidate.is_established = true;
-                        switch.silent_since = now;
-                    }
-                    let input = read_messages(&mut candidate.connection);
-                    if !input.messages.is_empty() {
-                        candidate.first_message_delay.get_or_insert(now - candidate.started_at);
-                    }
-                    if !self.handle_additional_input(now, id, input) {
-                        self.close_candidate_connection(id);
-                    }
-                }
-                Err(_) => self.close_candidate_connection(id),
-            }
-        }
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        if let Some(replaced) = &mut switch.replaced {
-            let input = read_messages(&mut replaced.connection);
-            if !self.handle_additional_input(now, id, input) {
-                self.close_replaced_connection(id);
-            }
-        }
-    }
-
-    /// Handles what was read from the candidate or the replaced connection. Returns false if that connection
-    /// must be closed.
-    fn handle_additional_input(&mut self, now: Micros, id: SwitchId, input: Input) -> bool {
-        let mut messages = input.messages.into_iter();
-        let result = messages.try_for_each(|message| self.handle_switch_message(now, id, message));
-        let result = result.and(input.decode_result);
-        if input.status == ReadStatus::MorePossible {
-            self.pending_reads.push(PendingRead::Switch(id));
-        }
-        result.is_ok() && !matches!(input.status, ReadStatus::EndOfStream | ReadStatus::Failed)
-    }
-
     /// Closes all connections to a switch and ends all attempts there. The next attempt to connect is due at
     /// once.
     pub(super) fn close_switch_connections(&mut self, id: SwitchId) {
