Let an attempt end only with the connection that its set-up was written to

The set-up went on the new connection; the end of the old one, up to 3 s later, ended the attempt as reset, and the call was sent again.

Cause: handle_connection_lost() in src/call.rs took attempts that were sent until the replacement for those of the replaced connection. All of an iteration has the same time, so `sent_at <= replaced_at` held for attempts on the new one.

Change: connections to switches have ids, call control is told on which one a set-up was written, and a lost connection ends the attempts with its id. The exception for idle connections (`now - 1`) is no longer needed. The two places that began to connect are one. In call/tests.rs, the fixture reports the set-ups as written, as the network code does; the assertions are unchanged.

--- a/src/call.rs
+++ b/src/call.rs
@@ -47,6 +47,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(pub u64);
 
+/// Identifies a connection to a switch. Ids are not used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SwitchConnectionId(pub u64);
+
 /// A caller, as call control knows it.
 #[derive(Clone, Copy, Debug)]
 pub struct Caller {
@@ -232,6 +236,8 @@
     number: u32,
     switch: SwitchId,
     sent_at: Micros,
+    /// The connection that its set-up was written to; `None` while it waits for one.
+    connection: Option<SwitchConnectionId>,
     /// The timer of its time-out.
     timer: TimerId,
 }
@@ -275,6 +281,14 @@
         }
     }
 
+    /// The attempt in progress, if its set-up was written to this connection.
+    fn attempt_on(&self, connection: SwitchConnectionId) -> Option<&Attempt> {
+        match &self.state {
+            CallState::Unanswered(Some(attempt)) if attempt.connection == Some(connection) => Some(attempt),
+            _ => None,
+        }
+    }
+
     /// Whether the attempt in progress has this number.
     fn is_attempting(&self, number: u32) -> bool {
         matches!(&self.state, CallState::Unanswered(Some(attempt)) if attempt.number == number)
@@ -379,10 +393,9 @@
         })
     }
 
-    /// When the oldest of the attempts in progress at a switch was sent.
-    pub fn oldest_attempt_sent_at(&self, switch: SwitchId) -> Option<Micros> {
-        let sent_at = |call: &Call| call.attempt_at(switch).map(|attempt| attempt.sent_at);
-        self.calls.values().filter_map(sent_at).min()
+    /// Whether a set-up that was written to this connection is still unanswered.
+    pub fn has_attempts_on(&self, connection: SwitchConnectionId) -> bool {
+        self.calls.values().any(|call| call.attempt_on(connection).is_some())
     }
 
     // Messages and connections of callers.
@@ -632,14 +645,19 @@
         }
     }
 
-    /// A connection to a switch has ended, and with it the attempts that were sent there at `sent_until` or
-    /// earlier.
-    pub fn handle_connection_lost(&mut self, switch: SwitchId, sent_until: Micros) {
-        let lost = |call: &Call| match &call.state {
-            CallState::Unanswered(Some(attempt)) => attempt.sent_at <= sent_until,
-            _ => false,
-        };
-        self.end_attempts(switch, Outcome::Reset, lost);
+    /// The set-up of a call's attempt at a switch has been written to a connection.
+    pub fn handle_set_up_written(&mut self, switch: SwitchId, tag: Tag, connection: SwitchConnectionId) {
+        let call = self.call_ids.get(&tag).and_then(|id| self.calls.get_mut(id));
+        if let Some(Call { state: CallState::Unanswered(Some(attempt)), .. }) = call
+            && attempt.switch == switch
+        {
+            attempt.connection = Some(connection);
+        }
+    }
+
+    /// A connection to a switch has ended, and with it the attempts whose set-ups were written to it.
+    pub fn handle_connection_lost(&mut self, switch: SwitchId, connection: SwitchConnectionId) {
+        self.end_attempts(switch, Outcome::Reset, |call| call.attempt_on(connection).is_some());
     }
 
     /// Ends the attempts at a switch of those calls that `selected` accepts.
@@ -809,7 +827,8 @@
         }
         let deadline = now.saturating_add(timeout).min(call.caller_deadline);
         let timer = self.timers.push(deadline, TimerEvent::AttemptTimeout { call: id, attempt: number });
-        call.state = CallState::Unanswered(Some(Attempt { number, switch, sent_at: now, timer }));
+        call.state =
+            CallState::Unanswered(Some(Attempt { number, switch, sent_at: now, connection: None, timer }));
         self.commands.push(Command::SetUp {
             switch,
             tag: call.tag,
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -8,6 +8,7 @@
 const CALLER: ConnectionId = ConnectionId(1);
 const TRUSTED_CALLER: Caller = Caller { connection: CALLER, is_trusted: true };
 const SWITCH: SwitchId = SwitchId(11);
+const CONNECTION: SwitchConnectionId = SwitchConnectionId(21);
 
 /// Call control of exchange 0 that knows a switch of exchange 1 with free circuits, at a time of 10 s.
 struct Fixture {
@@ -49,11 +50,18 @@
         }
     }
 
-    /// Runs the due timers and a batch, as one iteration of the event loop does; returns the commands.
+    /// Runs the due timers and a batch, as one iteration of the event loop does, and takes the set-ups for
+    /// written to the connection; returns the commands.
     fn run_iteration(&mut self) -> Vec<Command> {
         self.run_due_timers();
         self.call_control.run_batch(self.now);
-        std::mem::take(&mut self.call_control.commands)
+        let commands = std::mem::take(&mut self.call_control.commands);
+        for command in &commands {
+            if let Command::SetUp { switch, tag, .. } = command {
+                self.call_control.handle_set_up_written(*switch, *tag, CONNECTION);
+            }
+        }
+        commands
     }
 
     /// Runs an iteration each millisecond until one has commands.
@@ -132,11 +140,32 @@
     assert_eq!(fixture.run_iteration(), [Command::ReleaseAtSwitch { switch: SWITCH, tag: 1 }]);
 }
 
+/// Guards against attempts that are taken for ended because another connection to their switch has ended: the
+/// call was sent again while its attempt was still in progress.
+#[test]
+fn a_lost_connection_ends_only_the_attempts_whose_set_ups_were_written_to_it() {
+    let mut fixture = Fixture::new();
+    // Both are sent at the same time. The second is written to the connection that has taken over.
+    for tag in [1, 2] {
+        let set_up = fixture.set_up(tag);
+        fixture.call_control.handle_set_up(fixture.now, TRUSTED_CALLER, set_up).unwrap();
+    }
+    fixture.now += 10 * MILLISECOND;
+    fixture.run_iteration();
+    let successor = SwitchConnectionId(CONNECTION.0 + 1);
+    fixture.call_control.handle_set_up_written(SWITCH, 2, successor);
+    fixture.call_control.handle_connection_lost(SWITCH, CONNECTION);
+    assert!(!fixture.call_control.has_attempts_on(CONNECTION));
+    assert!(fixture.call_control.has_attempts_on(successor));
+    let commands = fixture.run_until_commands();
+    assert!(matches!(commands[..], [Command::SetUp { tag: 1, .. }]), "{commands:?}");
+}
+
 #[test]
 fn call_whose_connection_is_reset_is_repeated_once_after_the_release_wait() {
     let mut fixture = Fixture::new();
     fixture.set_up_call(1, 3000 * MILLISECOND);
-    fixture.call_control.handle_connection_lost(SWITCH, fixture.now);
+    fixture.call_control.handle_connection_lost(SWITCH, CONNECTION);
     let reset_at = fixture.now;
     let commands = fixture.run_until_commands();
     assert!(matches!(commands[..], [Command::SetUp { tag: 1, .. }]), "{commands:?}");
@@ -276,7 +305,7 @@
     // Reset, and withdrawn while it waits for the next attempt.
     let reset = fixture.set_up(7);
     fixture.offer(reset);
-    fixture.call_control.handle_connection_lost(SWITCH, fixture.now);
+    fixture.call_control.handle_connection_lost(SWITCH, CONNECTION);
     fixture.now += 10 * MILLISECOND;
     fixture.run_iteration();
     fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 7);
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -17,13 +17,14 @@
 use super::link::{Connection, READ_CHUNK_BYTES, ReadStatus};
 use super::pending_reads::PendingRead;
 use super::{Gatekeeper, log};
-use crate::call::{Release, Tag, TimerEvent, cause};
+use crate::call::{Release, SwitchConnectionId, Tag, TimerEvent, cause};
 use crate::interface::{
     EndReason, ExchangeNumber, Health, LoadReport, MILLISECOND, Micros, SECOND, SwitchId,
 };
 use crate::timers::TimerId;
 use calloop::LoopHandle;
 use std::collections::{BTreeMap, HashMap};
+use std::io;
 use std::net::SocketAddr;
 
 mod replacement;
@@ -55,17 +56,23 @@
 /// The `result_code` of a probe's result (`ECHOED`) if the probe passed.
 const PROBE_PASSED_RESULT_CODE: u8 = 1;
 
+/// A connection to a switch, with the id by which call control knows it.
+struct SwitchConnection {
+    id: SwitchConnectionId,
+    socket: Connection,
+}
+
 enum ConnectionState {
     /// There is no connection; the next attempt to connect is due at `reconnect_at`.
     Closed { reconnect_at: Micros },
     /// A connection is being established; the attempt to connect times out at `deadline`.
-    Connecting { connection: Connection, deadline: Micros },
+    Connecting { connection: SwitchConnection, deadline: Micros },
     /// A connection is established.
     Open(OpenConnection),
 }
 
 struct OpenConnection {
-    connection: Connection,
+    connection: SwitchConnection,
     opened_at: Micros,
     /// When the connection was opened, a set-up was last sent, or a message other than a load report was last
     /// received. Messages received on a candidate or replaced connection count as well.
@@ -77,7 +84,7 @@
 }
 
 impl OpenConnection {
-    fn new(connection: Connection, now: Micros) -> Self {
+    fn new(connection: SwitchConnection, now: Micros) -> Self {
         OpenConnection {
             connection,
             opened_at: now,
@@ -186,6 +193,7 @@
     /// between the two.
     ids_by_name: HashMap<String, SwitchId>,
     last_id: u64,
+    last_connection_id: u64,
 }
 
 impl Switches {
@@ -203,6 +211,7 @@
             by_id: BTreeMap::new(),
             ids_by_name: HashMap::new(),
             last_id: 0,
+            last_connection_id: 0,
         }
     }
 
@@ -229,16 +238,26 @@
     /// Returns true if no output is waiting to be sent on an open connection.
     pub fn is_flushed(&self) -> bool {
         self.by_id.values().all(|switch| match &switch.state {
-            ConnectionState::Open(open) => open.connection.is_flushed(),
+            ConnectionState::Open(open) => open.connection.socket.is_flushed(),
             _ => true,
         })
     }
 
+    /// Starts to connect to a switch.
+    fn start_connecting(&mut self, id: SwitchId, address: SocketAddr) -> io::Result<SwitchConnection> {
+        let max_unsent_bytes = self.limits.unsent_per_switch;
+        let socket = Connection::connect(&self.loop_handle, address, max_unsent_bytes, move |gatekeeper| {
+            gatekeeper.handle_switch_readiness(id);
+        })?;
+        self.last_connection_id += 1;
+        Ok(SwitchConnection { id: SwitchConnectionId(self.last_connection_id), socket })
+    }
+
     /// Appends a message to the output of the open connection. Returns false if there is none or the message
     /// is too long.
     fn write_message(&mut self, id: SwitchId, message: &Message) -> bool {
         match self.by_id.get_mut(&id).map(|switch| &mut switch.state) {
-            Some(ConnectionState::Open(open)) => message.encode(open.connection.output_buffer()),
+            Some(ConnectionState::Open(open)) => message.encode(open.connection.socket.output_buffer()),
             _ => false,
         }
     }
@@ -293,7 +312,7 @@
         let mut failed = Vec::new();
         for (id, switch) in &mut self.by_id {
             if let ConnectionState::Open(open) = &mut switch.state
-                && let Err(error) = open.connection.flush()
+                && let Err(error) = open.connection.socket.flush()
             {
                 log(&format!("switch {}: the connection failed: {error}", switch.listed.name));
                 failed.push(*id);
@@ -315,7 +334,7 @@
     /// the limit.
     fn connections_over_buffer_limit(&self) -> Vec<SwitchId> {
         let unsent_bytes = |switch: &Switch| match &switch.state {
-            ConnectionState::Open(open) => open.connection.buffered_bytes(),
+            ConnectionState::Open(open) => open.connection.socket.buffered_bytes(),
             _ => 0,
         };
         let connections = self.by_id.iter().map(|(id, switch)| BufferedConnection {
@@ -423,15 +442,17 @@
             && is_idle_close_imminent(now - open.last_used_at, self.switches.idle_timeout)
         {
             // The set-up would be lost if the switch closed the idle connection while the set-up is on its
-            // way, so it is sent on a new connection. Its attempt already counts as sent at `now`. The end of
-            // the idle connection must not end that attempt, only those sent earlier.
-            self.close_switch_connections_keeping_attempts_after(id, now, now - 1);
+            // way, so it is sent on a new connection.
+            self.close_switch_connections_until(id, now);
         }
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         if let ConnectionState::Open(open) = &mut switch.state {
             open.last_used_at = now;
             open.awaiting_response_since.get_or_insert(now);
-            if !set_time_left(&mut message, deadline - now).encode(open.connection.output_buffer()) {
+            let output_buffer = open.connection.socket.output_buffer();
+            if set_time_left(&mut message, deadline - now).encode(output_buffer) {
+                self.call_control.handle_set_up_written(id, tag, open.connection.id);
+            } else {
                 log(&format!(
                     "set-up {tag:016x} is not sent to switch {}: it exceeds the size limit of {} bytes",
                     switch.listed.name,
@@ -455,15 +476,14 @@
     fn connect_switch(&mut self, id: SwitchId) {
         let now = self.clock.now();
         let deadline = now + self.switches.connect_timeout;
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        let Some(switch) = self.switches.by_id.get(&id) else { return };
         let ConnectionState::Closed { .. } = switch.state else { return };
         let Some(address) = switch.listed.address else { return };
-        let max_unsent_bytes = self.switches.limits.unsent_per_switch;
-        match Connection::connect(&self.switches.loop_handle, address, max_unsent_bytes, move |gatekeeper| {
-            gatekeeper.handle_switch_readiness(id);
-        }) {
+        match self.switches.start_connecting(id, address) {
             Ok(connection) => {
-                switch.state = ConnectionState::Connecting { connection, deadline };
+                if let Some(switch) = self.switches.by_id.get_mut(&id) {
+                    switch.state = ConnectionState::Connecting { connection, deadline };
+                }
                 self.set_switch_timer(id, deadline);
             }
             Err(error) => self.handle_connect_failure(id, &error.to_string()),
@@ -494,26 +514,17 @@
         self.close_switch_connections_until(id, now);
     }
 
-    /// Closes all connections to a switch and ends all attempts there. The next attempt to connect is due at
-    /// `reconnect_at`.
+    /// Closes all connections to a switch and ends the attempts whose set-ups were written to them or are
+    /// queued. The next attempt to connect is due at `reconnect_at`. A connection that is open or being
+    /// established is closed nowhere else.
     fn close_switch_connections_until(&mut self, id: SwitchId, reconnect_at: Micros) {
-        let now = self.clock.now();
-        self.close_switch_connections_keeping_attempts_after(id, reconnect_at, now);
-    }
-
-    /// Closes all connections to a switch. Ends the attempts that were sent on the open one at `sent_until`
-    /// or earlier, those sent on the replaced one, and those whose set-ups are queued. A connection that is
-    /// open or being established is closed nowhere else.
-    fn close_switch_connections_keeping_attempts_after(
-        &mut self, id: SwitchId, reconnect_at: Micros, sent_until: Micros,
-    ) {
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         match std::mem::replace(&mut switch.state, ConnectionState::Closed { reconnect_at }) {
-            ConnectionState::Open(open) => {
-                open.connection.close(&self.switches.loop_handle);
-                self.call_control.handle_connection_lost(id, sent_until);
+            ConnectionState::Open(OpenConnection { connection, .. })
+            | ConnectionState::Connecting { connection, .. } => {
+                connection.socket.close(&self.switches.loop_handle);
+                self.call_control.handle_connection_lost(id, connection.id);
             }
-            ConnectionState::Connecting { connection, .. } => connection.close(&self.switches.loop_handle),
             ConnectionState::Closed { .. } => {}
         }
         self.close_candidate_connection(id);
@@ -551,7 +562,7 @@
         let now = self.clock.now();
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         if let ConnectionState::Connecting { connection, .. } = &switch.state {
-            match connection.check_connected() {
+            match connection.socket.check_connected() {
                 Ok(false) => return,
                 Ok(true) => self.handle_connection_established(id),
                 Err(error) => return self.handle_connect_failure(id, &error.to_string()),
@@ -560,7 +571,7 @@
         self.read_additional_connections(id);
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let ConnectionState::Open(open) = &mut switch.state else { return };
-        let input = read_messages(&mut open.connection);
+        let input = read_messages(&mut open.connection.socket);
         if !input.messages.is_empty() {
             open.awaiting_response_since = None;
         }
--- a/src/net/switches/replacement.rs
+++ b/src/net/switches/replacement.rs
@@ -2,11 +2,11 @@
 //! how long the one that was replaced is kept.
 
 use super::{
-    CHECK_INTERVAL, ConnectionState, Input, OpenConnection, SILENCE_TIMEOUT, UNREACHABLE_TIMEOUT,
-    read_messages,
+    CHECK_INTERVAL, ConnectionState, Input, OpenConnection, SILENCE_TIMEOUT, SwitchConnection,
+    UNREACHABLE_TIMEOUT, read_messages,
 };
 use crate::interface::{MILLISECOND, Micros, SECOND, SwitchId};
-use crate::net::link::{Connection, ReadStatus};
+use crate::net::link::ReadStatus;
 use crate::net::pending_reads::PendingRead;
 use crate::net::{Gatekeeper, log};
 
@@ -19,7 +19,7 @@
 /// A second connection to a switch that does not respond on the open one. It shows whether the switch can
 /// still be reached, and may replace the open connection.
 pub(super) struct CandidateConnection {
-    connection: Connection,
+    connection: SwitchConnection,
     started_at: Micros,
     /// When the attempt to connect times out.
     deadline: Micros,
@@ -30,7 +30,7 @@
 
 /// A connection that has been replaced by a candidate connection.
 pub(super) struct ReplacedConnection {
-    connection: Connection,
+    connection: SwitchConnection,
     replaced_at: Micros,
 }
 
@@ -40,7 +40,6 @@
     pub(super) fn check_open_connection(&mut self, id: SwitchId) {
         let now = self.clock.now();
         let has_calls = self.call_control.has_calls_at(id);
-        let oldest_attempt_sent_at = self.call_control.oldest_attempt_sent_at(id);
         self.set_switch_timer(id, now + CHECK_INTERVAL);
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let ConnectionState::Open(open) = &switch.state else { return };
@@ -55,9 +54,7 @@
         }
         let replaced_is_obsolete = switch.replaced.as_ref().is_some_and(|replaced| {
             let retention_expired = now >= replaced.replaced_at + REPLACED_CONNECTION_RETENTION;
-            let has_no_attempts =
-                oldest_attempt_sent_at.is_none_or(|sent_at| sent_at >= replaced.replaced_at);
-            retention_expired || has_no_attempts
+            retention_expired || !self.call_control.has_attempts_on(replaced.connection.id)
         });
         if replaced_is_obsolete {
             self.close_replaced_connection(id);
@@ -80,13 +77,18 @@
         if silent_for >= SILENCE_TIMEOUT + UNREACHABLE_TIMEOUT {
             return self.handle_silent_switch(id);
         }
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        let Some(address) = switch.listed.address else { return };
+        self.open_candidate_connection(id);
+    }
+
+    fn open_candidate_connection(&mut self, id: SwitchId) {
+        let now = self.clock.now();
         let deadline = now + self.switches.connect_timeout;
-        let max_unsent_bytes = self.switches.limits.unsent_per_switch;
-        match Connection::connect(&self.switches.loop_handle, address, max_unsent_bytes, move |gatekeeper| {
-            gatekeeper.handle_switch_readiness(id);
-        }) {
+        let Some(address) = self.switches.by_id.get(&id).and_then(|switch| switch.listed.address) else {
+            return;
+        };
+        let result = self.switches.start_connecting(id, address);
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        match result {
             Ok(connection) => {
                 switch.candidate = Some(CandidateConnection {
                     connection,
@@ -128,7 +130,7 @@
         let open = ConnectionState::Open(OpenConnection::new(candidate.connection, now));
         if let ConnectionState::Open(mut old) = std::mem::replace(&mut switch.state, open) {
             // Nothing more is sent on it.
-            old.connection.output_buffer().clear();
+            old.connection.socket.output_buffer().clear();
             switch.replaced = Some(ReplacedConnection { connection: old.connection, replaced_at: now });
             // The old connection was at fault only if the switch had responded on it before. If it never did,
             // the switch itself may be at fault.
@@ -144,8 +146,8 @@
     pub(super) fn close_replaced_connection(&mut self, id: SwitchId) {
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         if let Some(replaced) = switch.replaced.take() {
-            replaced.connection.close(&self.switches.loop_handle);
-            self.call_control.handle_connection_lost(id, replaced.replaced_at);
+            replaced.connection.socket.close(&self.switches.loop_handle);
+            self.call_control.handle_connection_lost(id, replaced.connection.id);
         }
     }
 
@@ -153,7 +155,7 @@
     pub(super) fn close_candidate_connection(&mut self, id: SwitchId) {
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         if let Some(candidate) = switch.candidate.take() {
-            candidate.connection.close(&self.switches.loop_handle);
+            candidate.connection.socket.close(&self.switches.loop_handle);
         }
     }
 
@@ -162,14 +164,14 @@
         let now = self.clock.now();
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         if let Some(candidate) = &mut switch.candidate {
-            match candidate.connection.check_connected() {
+            match candidate.connection.socket.check_connected() {
                 Ok(false) => {}
                 Ok(true) => {
                     if !candidate.is_established {
                         candidate.is_established = true;
                         switch.silent_since = now;
                     }
-                    let input = read_messages(&mut candidate.connection);
+                    let input = read_messages(&mut candidate.connection.socket);
                     if !input.messages.is_empty() {
                         candidate.first_message_delay.get_or_insert(now - candidate.started_at);
                     }
@@ -182,7 +184,7 @@
         }
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         if let Some(replaced) = &mut switch.replaced {
-            let input = read_messages(&mut replaced.connection);
+            let input = read_messages(&mut replaced.connection.socket);
             if !self.handle_additional_input(now, id, input) {
                 self.close_replaced_connection(id);
             }
