Release attempts that ended with their connection before they are sent again

Cause: handle_connection_lost() in src/call.rs ended the attempts of a lost connection without a release. A switch gives up unanswered set-ups with their connection, but an answered call belongs to no connection.

Change: each attempt that ends so is released at its switch; the release waits for the next connection and goes out before the queued set-ups.

--- a/src/call.rs
+++ b/src/call.rs
@@ -655,24 +655,32 @@
         }
     }
 
-    /// A connection to a switch has ended, and with it the attempts whose set-ups were written to it.
+    /// A connection to a switch has ended, and with it the attempts whose set-ups were written to it. They are
+    /// released as well: the switch may have answered one, the answer was lost, and an answered call stays up
+    /// without the connection.
     pub fn handle_connection_lost(&mut self, switch: SwitchId, connection: SwitchConnectionId) {
-        self.end_attempts(switch, Outcome::Reset, |call| call.attempt_on(connection).is_some());
+        let is_on_connection = |call: &Call| call.attempt_on(connection).is_some();
+        for tag in self.end_attempts(switch, Outcome::Reset, is_on_connection) {
+            self.release_at_switch(tag, switch);
+        }
     }
 
-    /// Ends the attempts at a switch of those calls that `selected` accepts.
-    fn end_attempts(&mut self, switch: SwitchId, outcome: Outcome, selected: impl Fn(&Call) -> bool) {
+    /// Ends the attempts at a switch of those calls that `selected` accepts. Returns the tags of these calls.
+    fn end_attempts(
+        &mut self, switch: SwitchId, outcome: Outcome, selected: impl Fn(&Call) -> bool,
+    ) -> Vec<Tag> {
         let mut ended = Vec::new();
         for (id, call) in self.calls.iter_mut().filter(|(_, call)| selected(call)) {
             if call.attempt_at(switch).is_some()
                 && let Some(attempt) = call.take_attempt(&mut self.timers)
             {
-                ended.push((*id, attempt.number));
+                ended.push((*id, call.tag, attempt.number));
             }
         }
-        for (id, attempt) in ended {
-            self.push_attempt_end(id, attempt, switch, outcome, false);
+        for (id, _, attempt) in &ended {
+            self.push_attempt_end(*id, *attempt, switch, outcome, false);
         }
+        ended.into_iter().map(|(_, tag, _)| tag).collect()
     }
 
     /// A switch has failed, has restarted, is gone or cannot be reached: releases the calls that it answered
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -157,6 +157,7 @@
     fixture.call_control.handle_connection_lost(SWITCH, CONNECTION);
     assert!(!fixture.call_control.has_attempts_on(CONNECTION));
     assert!(fixture.call_control.has_attempts_on(successor));
+    assert_eq!(fixture.run_iteration(), [Command::ReleaseAtSwitch { switch: SWITCH, tag: 1 }]);
     let commands = fixture.run_until_commands();
     assert!(matches!(commands[..], [Command::SetUp { tag: 1, .. }]), "{commands:?}");
 }
@@ -167,6 +168,7 @@
     fixture.set_up_call(1, 3000 * MILLISECOND);
     fixture.call_control.handle_connection_lost(SWITCH, CONNECTION);
     let reset_at = fixture.now;
+    assert_eq!(fixture.run_iteration(), [Command::ReleaseAtSwitch { switch: SWITCH, tag: 1 }]);
     let commands = fixture.run_until_commands();
     assert!(matches!(commands[..], [Command::SetUp { tag: 1, .. }]), "{commands:?}");
     assert!(fixture.now - reset_at >= 500 * MILLISECOND);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -359,6 +359,7 @@
 exchange_tests! {
     a_call_from_set_up_to_release
     address_taken_over
+    answer_lost_with_its_connection
     bad_callers
     caller_gives_up
     caller_half_closes
