Send messages that a replaced connection has not sent on its successor

Callers saw (by reading; shown by a test): set-ups that waited for their socket when another connection took over were dropped and answered only after their time-out, or not at all; releases that waited there left calls up.

Cause: replace_open_connection() cleared the output of the replaced connection. A message cut by that stays incomplete at the switch; whole ones were lost.

Change: whole unsent messages move to the connection that takes over, with their attempts; the rest of a message sent in part stays with its connection.

--- a/src/net/lines.rs
+++ b/src/net/lines.rs
@@ -13,6 +13,9 @@
 /// Maximum size of an encoded message, including its line feed.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 
+/// Ends each encoded message. It occurs nowhere else in one, since JSON text escapes it.
+pub const TERMINATOR: u8 = b'\n';
+
 /// A longer waiting time in a release is taken for this one.
 const MAX_WAITED_MS: f64 = 1e9;
 
@@ -101,7 +104,7 @@
     pub fn encode(&self, out: &mut Vec<u8>) -> bool {
         let start = out.len();
         let serialized = serde_json::to_writer(&mut *out, self).is_ok();
-        out.push(b'\n');
+        out.push(TERMINATOR);
         let fits = serialized && out.len() - start <= MAX_MESSAGE_BYTES;
         if !fits {
             out.truncate(start);
@@ -116,7 +119,7 @@
 /// # Errors
 /// The line, with its line feed, is longer than `max_bytes`.
 pub fn first_line(bytes: &[u8], max_bytes: usize) -> Result<Option<(&[u8], usize)>, &'static str> {
-    match bytes.iter().position(|b| *b == b'\n') {
+    match bytes.iter().position(|b| *b == TERMINATOR) {
         Some(end) if end < max_bytes => Ok(bytes.get(..end).map(|line| (line, end + 1))),
         None if bytes.len() < max_bytes => Ok(None),
         _ => Err("a line that exceeds the size limit"),
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -8,6 +8,9 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum number of bytes per read, so that a busy connection does not keep the others waiting.
 pub const READ_CHUNK_BYTES: usize = 16 * 1024;
 
@@ -35,6 +38,8 @@
     /// Bytes received and not yet decoded.
     pub input_buffer: Vec<u8>,
     output_buffer: Vec<u8>,
+    /// The last byte that the socket has accepted.
+    last_sent_byte: Option<u8>,
     /// Limit on the output buffer, for a peer that does not read.
     max_unsent_bytes: usize,
 }
@@ -58,7 +63,14 @@
                 Ok(PostAction::Continue)
             })
             .map_err(|error| io::Error::other(error.to_string()))?;
-        Ok(Connection { stream, registration, input_buffer: vec![], output_buffer: vec![], max_unsent_bytes })
+        Ok(Connection {
+            stream,
+            registration,
+            input_buffer: vec![],
+            output_buffer: vec![],
+            last_sent_byte: None,
+            max_unsent_bytes,
+        })
     }
 
     /// Starts to connect without blocking; [`Connection::check_connected`] gives the result.
@@ -158,7 +170,7 @@
                 Err(error) => break Err(error),
             }
         };
-        self.output_buffer.drain(..sent);
+        self.last_sent_byte = self.output_buffer.drain(..sent).next_back().or(self.last_sent_byte);
         if self.output_buffer.is_empty() {
             self.output_buffer = Vec::new();
         }
@@ -172,6 +184,19 @@
         result
     }
 
+    /// Removes the messages of which nothing has been sent from the output buffer and returns them. The rest of
+    /// a message that was sent in part stays in the buffer. Each message ends with `terminator`, which occurs
+    /// nowhere else in it.
+    pub fn take_unsent_messages(&mut self, terminator: u8) -> Vec<u8> {
+        let is_within_message = self.last_sent_byte.is_some_and(|byte| byte != terminator);
+        let end_of_message = self.output_buffer.iter().position(|byte| *byte == terminator);
+        let rest_bytes = match end_of_message {
+            Some(end) if is_within_message => end + 1,
+            _ => 0,
+        };
+        self.output_buffer.split_off(rest_bytes)
+    }
+
     /// The bytes in both buffers.
     pub fn buffered_bytes(&self) -> usize {
         self.input_buffer.len() + self.output_buffer.len()
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -311,6 +311,8 @@
     pub fn flush(&mut self) -> Vec<SwitchId> {
         let mut failed = Vec::new();
         for (id, switch) in &mut self.by_id {
+            // A failure is noticed when the replaced connection is read.
+            let _ = switch.replaced.as_mut().map(ReplacedConnection::flush);
             if let ConnectionState::Open(open) = &mut switch.state
                 && let Err(error) = open.connection.socket.flush()
             {
--- a/src/net/switches/replacement.rs
+++ b/src/net/switches/replacement.rs
@@ -6,9 +6,11 @@
     UNREACHABLE_TIMEOUT, read_messages,
 };
 use crate::interface::{MILLISECOND, Micros, SECOND, SwitchId};
+use crate::net::lines;
 use crate::net::link::ReadStatus;
 use crate::net::pending_reads::PendingRead;
 use crate::net::{Gatekeeper, log};
+use std::io;
 
 /// If nothing has been received on a connection for this long after a set-up was sent, the connection itself
 /// may have failed. A second one is opened, and replaces the first if the switch sends a message on it.
@@ -34,6 +36,13 @@
     replaced_at: Micros,
 }
 
+impl ReplacedConnection {
+    /// Sends the rest of a message that was sent in part before the replacement.
+    pub(super) fn flush(&mut self) -> io::Result<()> {
+        self.connection.socket.flush()
+    }
+}
+
 impl Gatekeeper {
     /// Checks whether the switch responds on its open connection, and tries or uses a candidate connection if
     /// it does not.
@@ -129,8 +138,7 @@
         log(&format!("switch {}: set-ups are not answered; a new connection takes over", switch.listed.name));
         let open = ConnectionState::Open(OpenConnection::new(candidate.connection, now));
         if let ConnectionState::Open(mut old) = std::mem::replace(&mut switch.state, open) {
-            // Nothing more is sent on it.
-            old.connection.socket.output_buffer().clear();
+            let unsent = old.connection.socket.take_unsent_messages(lines::TERMINATOR);
             switch.replaced = Some(ReplacedConnection { connection: old.connection, replaced_at: now });
             // The old connection was at fault only if the switch had responded on it before. If it never did,
             // the switch itself may be at fault.
@@ -138,6 +146,22 @@
             if let Some(response_time) = response_time {
                 self.call_control.handle_switch_responsive(id, response_time);
             }
+            self.send_messages_of_predecessor(id, &unsent);
+        }
+    }
+
+    /// Sends the messages on the open connection that could not be sent on the one that it has replaced.
+    fn send_messages_of_predecessor(&mut self, id: SwitchId, mut encoded: &[u8]) {
+        let now = self.clock.now();
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        let ConnectionState::Open(open) = &mut switch.state else { return };
+        open.connection.socket.output_buffer().extend_from_slice(encoded);
+        while let Ok(Some((message, size))) = lines::decode(encoded) {
+            encoded = encoded.get(size..).unwrap_or_default();
+            if let Some(tag) = message.parse_tag().filter(|_| message.verb == "START") {
+                open.awaiting_response_since.get_or_insert(now);
+                self.call_control.handle_set_up_written(id, tag, open.connection.id);
+            }
         }
     }
 
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -50,6 +50,9 @@
 const FLOOD_NUMBER_DIGITS: [u8; 16] = [b'#'; 16];
 const FLOOD_NUMBER_DECIMALS: [u8; 6] = [b'%'; 6];
 
+/// What a set-up sent to a switch begins with, up to its tag.
+const SET_UP_START: &str = "{\"verb\":\"START\",\"tag\":\"";
+
 /// Longer lines of an exchange are printed only up to this length.
 const MAX_PRINTED_BYTES: usize = 120;
 
@@ -426,6 +429,50 @@
     rest.lines().filter(|line| !line.starts_with("//")).for_each(|line| runner.execute(line));
 }
 
+/// Guards against set-ups that are lost when another connection takes over before the socket has accepted them:
+/// their calls were answered a second late or not at all.
+#[test]
+fn set_ups_that_were_not_sent_are_sent_on_the_connection_that_takes_over() {
+    const CALLS: u64 = 400;
+    let mut runner = Runner::start(Some(("\"memory_mb\": 192", "\"memory_mb\": 1000")));
+    // The switch leaves the set-ups in the buffers of its first connection, which are small.
+    SockRef::from(&runner.listeners["s1"]).set_recv_buffer_size(4096).unwrap();
+    runner.execute_file("start.txt");
+    runner.execute(r#"s1 > {"verb":"LOAD","tag":"","opts":{"load":"x0:500;x1:500"}}"#);
+    // A caller with an answered call may have any number of unanswered ones.
+    runner.execute(r#"c1 > #(01 0000000000001000 b4#("check") b6#("9000") bc#("0") be#("dest:1"))"#);
+    runner.execute(r#"s1 < {"verb":"START","tag":"0000000000001000",*"#);
+    runner.execute(r#"s1 > {"verb":"STARTED","tag":"0000000000001000"}"#);
+    runner.execute("c1 < #(09 0000000000001000)");
+    for call in 1..=CALLS {
+        runner.execute(&format!(
+            r#"c1 > #(01 {call:016x} b4#("check") b6#("9000") bc#("{call}") be#("dest:1") d2#("v"*15000))"#
+        ));
+    }
+    runner.execute("s1b accepts");
+    runner.execute(r#"s1b > {"verb":"LOAD","tag":"","opts":{"load":"x0:500;x1:500"}}"#);
+    runner.wait_for_log("a new connection takes over");
+    let (sender, set_ups) = channel();
+    for (index, party) in ["s1", "s1b"].into_iter().enumerate() {
+        let connection = runner.connections.remove(party).unwrap();
+        let sender = sender.clone();
+        std::thread::spawn(move || {
+            let lines = connection.lines().map_while(Result::ok);
+            let mut tags =
+                lines.filter_map(|line| Some(line.strip_prefix(SET_UP_START)?.get(..16)?.to_string()));
+            tags.all(|tag| sender.send((index, tag)).is_ok())
+        });
+    }
+    let mut tags = [vec![], vec![]];
+    for _ in 1..=CALLS {
+        let (index, tag) = set_ups.recv_timeout(HANG_TIMEOUT).expect("a further set-up");
+        tags[index].push(tag);
+    }
+    println!("{} set-ups on the first connection, {} on the second", tags[0].len(), tags[1].len());
+    assert!(!tags[0].is_empty() && !tags[1].is_empty());
+    assert_eq!(tags.concat(), (1..=CALLS).map(|call| format!("{call:016x}")).collect::<Vec<String>>());
+}
+
 #[test]
 fn invalid_configuration_gives_one_line_of_error_and_exit_code_1() {
     let without_group_size = read_exchange_file("config.json").replace("\"groupSize\": 3,", "");
