Close a quiet connection before a call whose set-up is on it is sent again

Cause: an attempt that timed out was released on the connection that had taken over, although its set-up was on the replaced one; and that one stayed open while any other set-up on it was unanswered (check_open_connection()). The set-up arrived after its release and after the call had been sent again.

Change: call control names the connection of a withdrawn attempt, and gives a call's withdrawn attempts along with its next set-up. The last message on a replaced connection is a probe; its result proves that the set-ups there have arrived. Without it the connection is closed with a reset before the call goes out again, at once for a transit call; its attempts count as timed out. A connection with attempts that is closed for another reason is reset too.

--- a/src/call.rs
+++ b/src/call.rs
@@ -137,6 +137,15 @@
     pub report: LoadReport,
 }
 
+/// An attempt that was released before the switch had answered or ended it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WithdrawnAttempt {
+    /// The switch.
+    pub switch: SwitchId,
+    /// The connection that the set-up was written to; `None` if it was still waiting for one.
+    pub connection: Option<SwitchConnectionId>,
+}
+
 /// A message to send or a line to log. Commands are carried out in the order of the list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
@@ -154,14 +163,25 @@
         deadline: Micros,
         /// The caller's session description.
         session_description: Option<String>,
+        /// Earlier attempts of the call. They must be over before the set-up is sent.
+        withdrawn: Vec<WithdrawnAttempt>,
     },
-    /// Release an attempt or an answered call at a switch.
+    /// Release an answered call at a switch, or a call that may have been answered there.
     ReleaseAtSwitch {
         /// The switch.
         switch: SwitchId,
         /// The call.
         tag: Tag,
     },
+    /// Release an attempt that was in progress at a switch.
+    WithdrawAttempt {
+        /// The call.
+        tag: Tag,
+        /// Its attempt.
+        attempt: WithdrawnAttempt,
+        /// The call is passed on by another gatekeeper, which may send it elsewhere at once.
+        transit: bool,
+    },
     /// Release a call at all switches. It was set up before this program started, at an unknown switch.
     ReleaseAtAllSwitches(Tag),
     /// Send a probe to a switch.
@@ -242,6 +262,12 @@
     timer: TimerId,
 }
 
+impl Attempt {
+    fn withdrawn(&self) -> WithdrawnAttempt {
+        WithdrawnAttempt { switch: self.switch, connection: self.connection }
+    }
+}
+
 enum CallState {
     /// The call is not answered yet. An attempt is in progress at a switch, or none while the controller
     /// decides on the call, holds it or waits before the next attempt.
@@ -259,8 +285,11 @@
     session_description: Option<String>,
     /// When the caller gives up.
     caller_deadline: Micros,
+    transit: bool,
     /// The number of the next attempt; they are counted from 0.
     next_attempt: u32,
+    /// The attempts that were withdrawn since the last set-up was sent.
+    withdrawn: Vec<WithdrawnAttempt>,
     state: CallState,
 }
 
@@ -321,6 +350,7 @@
     unknown_releases: UnknownReleases,
     /// Probes without an answer.
     probes: HashMap<Tag, Probe>,
+    may_probe: bool,
     last_probe_tag: Tag,
     /// Events since the last batch, in order of arrival.
     pending_events: Vec<Event>,
@@ -341,6 +371,7 @@
     /// Call control with an empty call table.
     pub fn new(settings: Settings, names: IndexedNames, limits: CallLimits, seed: u64, now: Micros) -> Self {
         let min_batch_interval = settings.min_batch_interval;
+        let may_probe = settings.may_probe;
         let mut actions = Vec::new();
         let controller = Controller::new(settings, seed, now, &mut actions);
         let ended_tags = EndedTags::new(limits.max_calls);
@@ -357,6 +388,7 @@
             ended_tags,
             unknown_releases,
             probes: HashMap::new(),
+            may_probe,
             last_probe_tag: seed,
             pending_events: vec![],
             next_batch_at: now,
@@ -458,7 +490,9 @@
             called_number: set_up.called_number,
             session_description: set_up.session_description,
             caller_deadline,
+            transit: set_up.transit,
             next_attempt: 0,
+            withdrawn: vec![],
             state: CallState::Unanswered(None),
         };
         self.calls.insert(id, call);
@@ -517,7 +551,7 @@
             CallState::Unanswered(_) => {
                 self.pending_events.push(Event::CallerGone(id));
                 if let Some(attempt) = call.take_attempt(&mut self.timers) {
-                    self.release_at_switch(call.tag, attempt.switch);
+                    self.withdraw_attempt(&call, &attempt);
                     self.push_attempt_end(id, attempt.number, attempt.switch, Outcome::Cancelled, true);
                 }
             }
@@ -655,12 +689,24 @@
         }
     }
 
-    /// A connection to a switch has ended, and with it the attempts whose set-ups were written to it. They are
-    /// released as well: the switch may have answered one, the answer was lost, and an answered call stays up
-    /// without the connection.
+    /// A connection to a switch has ended, and with it the attempts whose set-ups were written to it.
     pub fn handle_connection_lost(&mut self, switch: SwitchId, connection: SwitchConnectionId) {
+        self.end_attempts_on(switch, connection, Outcome::Reset);
+    }
+
+    /// The gatekeeper has closed a connection on which the switch did not respond, and answers to the set-ups
+    /// that were written to it can no longer arrive. The attempts count as timed out: another connection has
+    /// shown that the switch is up.
+    pub fn handle_connection_abandoned(&mut self, switch: SwitchId, connection: SwitchConnectionId) {
+        self.end_attempts_on(switch, connection, Outcome::TimedOut);
+    }
+
+    /// Ends the attempts whose set-ups were written to a connection that is closed. They are released as well:
+    /// the switch may have answered one, the answer was lost, and an answered call stays up without the
+    /// connection.
+    fn end_attempts_on(&mut self, switch: SwitchId, connection: SwitchConnectionId, outcome: Outcome) {
         let is_on_connection = |call: &Call| call.attempt_on(connection).is_some();
-        for tag in self.end_attempts(switch, Outcome::Reset, is_on_connection) {
+        for tag in self.end_attempts(switch, outcome, is_on_connection) {
             self.release_at_switch(tag, switch);
         }
     }
@@ -789,8 +835,7 @@
                     self.abandon_attempt(call, attempt_number, Outcome::Cancelled);
                 }
                 Action::Probe(switch) => {
-                    self.last_probe_tag = self.last_probe_tag.wrapping_add(1);
-                    let tag = self.last_probe_tag;
+                    let tag = self.next_probe_tag();
                     let timer = self.timers.push(now + PROBE_TIMEOUT, TimerEvent::ProbeTimeout(tag));
                     self.probes.insert(tag, Probe { switch, sent_at: now, timer });
                     self.commands.push(Command::Probe { switch, tag });
@@ -819,8 +864,10 @@
     fn abandon_attempt(&mut self, id: CallId, number: u32, outcome: Outcome) {
         let Some(call) = self.calls.get_mut(&id).filter(|call| call.is_attempting(number)) else { return };
         let Some(attempt) = call.take_attempt(&mut self.timers) else { return };
-        let tag = call.tag;
-        self.release_at_switch(tag, attempt.switch);
+        let withdrawn = attempt.withdrawn();
+        call.withdrawn.push(withdrawn);
+        let (tag, transit) = (call.tag, call.transit);
+        self.commands.push(Command::WithdrawAttempt { tag, attempt: withdrawn, transit });
         self.push_attempt_end(id, number, attempt.switch, outcome, false);
     }
 
@@ -844,6 +891,7 @@
             called_number: call.called_number.clone(),
             deadline,
             session_description: call.session_description.clone(),
+            withdrawn: std::mem::take(&mut call.withdrawn),
         });
     }
 
@@ -854,7 +902,7 @@
         }
         let Some(mut call) = self.remove_call(now, id) else { return };
         if let Some(attempt) = call.take_attempt(&mut self.timers) {
-            self.release_at_switch(call.tag, attempt.switch);
+            self.withdraw_attempt(&call, &attempt);
         }
         self.commands.push(Command::Reject { connection: call.connection, tag: call.tag, cause, back_off });
     }
@@ -874,6 +922,23 @@
         Some(call)
     }
 
+    /// The tag for a probe of a connection, which the controller is not told of; `None` if the settings allow no
+    /// probes.
+    pub fn connection_probe_tag(&mut self) -> Option<Tag> {
+        self.may_probe.then(|| self.next_probe_tag())
+    }
+
+    fn next_probe_tag(&mut self) -> Tag {
+        self.last_probe_tag = self.last_probe_tag.wrapping_add(1);
+        self.last_probe_tag
+    }
+
+    /// Releases the attempt of a call that has been removed.
+    fn withdraw_attempt(&mut self, call: &Call, attempt: &Attempt) {
+        let Call { tag, transit, .. } = *call;
+        self.commands.push(Command::WithdrawAttempt { tag, attempt: attempt.withdrawn(), transit });
+    }
+
     fn release_at_switch(&mut self, tag: Tag, switch: SwitchId) {
         self.commands.push(Command::ReleaseAtSwitch { switch, tag });
     }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -3,10 +3,11 @@
 use super::Gatekeeper;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use socket2::{Domain, Protocol, SockAddr, Socket, Type};
+use socket2::{Domain, Protocol, SockAddr, SockRef, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
 #[cfg(test)]
 mod tests;
@@ -207,6 +208,14 @@
         self.output_buffer.is_empty()
     }
 
+    /// Closes the connection like [`Connection::close`], with a reset: what the system holds of its output and
+    /// has not delivered is discarded as well, so that it does not arrive later.
+    pub fn abort(self, loop_handle: &LoopHandle<'static, Gatekeeper>) {
+        // Without the option the socket is closed as usual.
+        let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
+        self.close(loop_handle);
+    }
+
     /// Removes the connection from the event loop and closes its socket. Unsent output is discarded.
     pub fn close(self, loop_handle: &LoopHandle<'static, Gatekeeper>) {
         loop_handle.remove(self.registration);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -414,12 +414,24 @@
         while !self.call_control.commands.is_empty() {
             for command in std::mem::take(&mut self.call_control.commands) {
                 match command {
-                    Command::SetUp { switch, tag, class, called_number, deadline, session_description } => {
+                    Command::SetUp {
+                        switch,
+                        tag,
+                        class,
+                        called_number,
+                        deadline,
+                        session_description,
+                        withdrawn,
+                    } => {
+                        withdrawn.into_iter().for_each(|attempt| self.end_withdrawn_attempt(tag, attempt));
                         let message =
                             switches::set_up_message(tag, class, called_number, session_description);
                         self.send_set_up(switch, tag, message, deadline);
                     }
                     Command::ReleaseAtSwitch { switch, tag } => self.switches.release(switch, tag),
+                    Command::WithdrawAttempt { tag, attempt, transit } => {
+                        self.withdraw_attempt(tag, attempt, transit);
+                    }
                     Command::ReleaseAtAllSwitches(tag) => self.switches.release_at_all(tag),
                     Command::Probe { switch, tag } => self.switches.probe(switch, tag),
                     Command::Answer { connection, tag, session_description } => {
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -301,10 +301,7 @@
 
     /// Sends a probe to a switch. It is not sent if there is no open connection.
     pub fn probe(&mut self, id: SwitchId, tag: Tag) {
-        self.write_message(
-            id,
-            &Message { result_code: Some(PROBE_RESULT_CODE), ..Message::new("ECHO", tag) },
-        );
+        self.write_message(id, &probe_message(tag));
     }
 
     /// Sends the buffered output of the open connections. Returns the switches whose connections have failed.
@@ -524,13 +521,17 @@
         match std::mem::replace(&mut switch.state, ConnectionState::Closed { reconnect_at }) {
             ConnectionState::Open(OpenConnection { connection, .. })
             | ConnectionState::Connecting { connection, .. } => {
-                connection.socket.close(&self.switches.loop_handle);
+                if self.call_control.has_attempts_on(connection.id) {
+                    connection.socket.abort(&self.switches.loop_handle);
+                } else {
+                    connection.socket.close(&self.switches.loop_handle);
+                }
                 self.call_control.handle_connection_lost(id, connection.id);
             }
             ConnectionState::Closed { .. } => {}
         }
         self.close_candidate_connection(id);
-        self.close_replaced_connection(id);
+        self.lose_replaced_connection(id);
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let queued: Vec<Tag> = switch.queued_set_ups.drain(..).map(|set_up| set_up.tag).collect();
         self.call_control.fail_unsent_set_ups(id, &queued);
@@ -679,6 +680,10 @@
     idle_time >= idle_timeout - margin
 }
 
+fn probe_message(tag: Tag) -> Message {
+    Message { result_code: Some(PROBE_RESULT_CODE), ..Message::new("ECHO", tag) }
+}
+
 /// Creates the release of an attempt or of an answered call.
 fn release_message(tag: Tag) -> Message {
     Message { result_code: Some(cause::NORMAL_CLEARING), ..Message::new("FINISH", tag) }
--- a/src/net/switches/replacement.rs
+++ b/src/net/switches/replacement.rs
@@ -3,10 +3,11 @@
 
 use super::{
     CHECK_INTERVAL, ConnectionState, Input, OpenConnection, SILENCE_TIMEOUT, SwitchConnection,
-    UNREACHABLE_TIMEOUT, read_messages,
+    UNREACHABLE_TIMEOUT, probe_message, read_messages,
 };
+use crate::call::{SwitchConnectionId, Tag, WithdrawnAttempt};
 use crate::interface::{MILLISECOND, Micros, SECOND, SwitchId};
-use crate::net::lines;
+use crate::net::lines::{self, Message};
 use crate::net::link::ReadStatus;
 use crate::net::pending_reads::PendingRead;
 use crate::net::{Gatekeeper, log};
@@ -30,14 +31,42 @@
     first_message_delay: Option<Micros>,
 }
 
-/// A connection that has been replaced by a candidate connection.
+/// A connection that has been replaced by a candidate connection. Set-ups may still be on their way on it, and
+/// arrive after their attempts have been released on the open connection.
 pub(super) struct ReplacedConnection {
     connection: SwitchConnection,
     replaced_at: Micros,
+    /// The probe that was sent last on this connection. Messages arrive in order, so that its result proves that
+    /// all set-ups have arrived.
+    probe: Option<Tag>,
+    /// The result of the probe has been received.
+    set_ups_have_arrived: bool,
+    /// The calls whose attempts were withdrawn before that was known.
+    withdrawn: Vec<Tag>,
+    /// One of them is a transit call, which another gatekeeper may send elsewhere at once.
+    has_withdrawn_transit_call: bool,
 }
 
 impl ReplacedConnection {
-    /// Sends the rest of a message that was sent in part before the replacement.
+    fn new(connection: SwitchConnection, now: Micros) -> Self {
+        ReplacedConnection {
+            connection,
+            replaced_at: now,
+            probe: None,
+            set_ups_have_arrived: false,
+            withdrawn: vec![],
+            has_withdrawn_transit_call: false,
+        }
+    }
+
+    /// Whether a set-up of a withdrawn transit call may arrive, and the result of the probe should have been
+    /// received by now.
+    fn must_be_closed(&self, now: Micros) -> bool {
+        let probe_is_overdue = now >= self.replaced_at + RESPONSE_TIMEOUT;
+        self.has_withdrawn_transit_call && !self.set_ups_have_arrived && probe_is_overdue
+    }
+
+    /// Sends the probe, and the rest of a message that was sent in part before the replacement.
     pub(super) fn flush(&mut self) -> io::Result<()> {
         self.connection.socket.flush()
     }
@@ -63,10 +92,11 @@
         }
         let replaced_is_obsolete = switch.replaced.as_ref().is_some_and(|replaced| {
             let retention_expired = now >= replaced.replaced_at + REPLACED_CONNECTION_RETENTION;
-            retention_expired || !self.call_control.has_attempts_on(replaced.connection.id)
+            let has_attempts = self.call_control.has_attempts_on(replaced.connection.id);
+            retention_expired || replaced.must_be_closed(now) || !has_attempts
         });
         if replaced_is_obsolete {
-            self.close_replaced_connection(id);
+            self.abandon_replaced_connection(id);
         }
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let silent_for = now - switch.silent_since;
@@ -139,7 +169,14 @@
         let open = ConnectionState::Open(OpenConnection::new(candidate.connection, now));
         if let ConnectionState::Open(mut old) = std::mem::replace(&mut switch.state, open) {
             let unsent = old.connection.socket.take_unsent_messages(lines::TERMINATOR);
-            switch.replaced = Some(ReplacedConnection { connection: old.connection, replaced_at: now });
+            let mut replaced = ReplacedConnection::new(old.connection, now);
+            if self.call_control.has_attempts_on(replaced.connection.id) {
+                replaced.probe = self.call_control.connection_probe_tag();
+            }
+            if let Some(tag) = replaced.probe {
+                probe_message(tag).encode(replaced.connection.socket.output_buffer());
+            }
+            switch.replaced = Some(replaced);
             // The old connection was at fault only if the switch had responded on it before. If it never did,
             // the switch itself may be at fault.
             let response_time = candidate.first_message_delay.filter(|_| old.has_responded);
@@ -165,14 +202,83 @@
         }
     }
 
-    /// Closes the replaced connection and ends the attempts that were sent on it. Replaced connections are
-    /// closed nowhere else.
-    pub(super) fn close_replaced_connection(&mut self, id: SwitchId) {
+    /// Releases an attempt. If it was sent on the replaced connection, its set-up may arrive after the release;
+    /// see [`Gatekeeper::end_withdrawn_attempt`].
+    pub(in crate::net) fn withdraw_attempt(&mut self, tag: Tag, attempt: WithdrawnAttempt, transit: bool) {
+        let now = self.clock.now();
+        let id = attempt.switch;
+        self.switches.release(id, tag);
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        let Some(replaced) = &mut switch.replaced else { return };
+        if attempt.connection == Some(replaced.connection.id) && !replaced.set_ups_have_arrived {
+            replaced.withdrawn.push(tag);
+            replaced.has_withdrawn_transit_call |= transit;
+            if replaced.must_be_closed(now) {
+                self.abandon_replaced_connection(id);
+            }
+        }
+    }
+
+    /// Makes sure that a withdrawn attempt is over before its call is sent again.
+    ///
+    /// A release on another connection than that of the set-up ends the attempt only if the set-up arrives first.
+    /// Where that is not certain, the connection of the set-up is closed: the switch gives up set-ups with their
+    /// connection, also those that arrive after that. No release is sent on that connection, as it could arrive
+    /// late and end another attempt of the same call. The release on the open connection is repeated for a
+    /// set-up that has arrived since the first one and was answered.
+    pub(in crate::net) fn end_withdrawn_attempt(&mut self, tag: Tag, attempt: WithdrawnAttempt) {
+        let id = attempt.switch;
+        let Some(connection) = attempt.connection else { return };
+        let Some(switch) = self.switches.by_id.get(&id) else { return };
+        // The release is behind the set-up on the same connection.
+        if matches!(&switch.state, ConnectionState::Open(open) if open.connection.id == connection) {
+            return;
+        }
+        if let Some(replaced) = &switch.replaced
+            && replaced.connection.id == connection
+        {
+            if replaced.set_ups_have_arrived {
+                return;
+            }
+            self.abandon_replaced_connection(id);
+        }
+        self.switches.release(id, tag);
+    }
+
+    /// All set-ups on the replaced connection have arrived, some perhaps after the releases of their attempts:
+    /// these are repeated.
+    fn confirm_arrival_of_set_ups(&mut self, id: SwitchId) {
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        if let Some(replaced) = switch.replaced.take() {
+        let Some(replaced) = &mut switch.replaced else { return };
+        replaced.set_ups_have_arrived = true;
+        for tag in std::mem::take(&mut replaced.withdrawn) {
+            self.switches.release(id, tag);
+        }
+    }
+
+    /// Gives up the replaced connection, with the attempts whose set-ups were sent on it.
+    fn abandon_replaced_connection(&mut self, id: SwitchId) {
+        if let Some(connection) = self.close_replaced_connection(id) {
+            self.call_control.handle_connection_abandoned(id, connection);
+        }
+    }
+
+    /// The switch has ended the replaced connection, or all connections to it are closed.
+    pub(super) fn lose_replaced_connection(&mut self, id: SwitchId) {
+        if let Some(connection) = self.close_replaced_connection(id) {
+            self.call_control.handle_connection_lost(id, connection);
+        }
+    }
+
+    /// Closes the replaced connection and returns its id. Replaced connections are closed nowhere else.
+    fn close_replaced_connection(&mut self, id: SwitchId) -> Option<SwitchConnectionId> {
+        let replaced = self.switches.by_id.get_mut(&id)?.replaced.take()?;
+        if replaced.set_ups_have_arrived {
             replaced.connection.socket.close(&self.switches.loop_handle);
-            self.call_control.handle_connection_lost(id, replaced.connection.id);
+        } else {
+            replaced.connection.socket.abort(&self.switches.loop_handle);
         }
+        Some(replaced.connection.id)
     }
 
     /// Closes the candidate connection. Candidate connections are closed nowhere else.
@@ -209,8 +315,14 @@
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         if let Some(replaced) = &mut switch.replaced {
             let input = read_messages(&mut replaced.connection.socket);
+            let is_probe_result = |message: &Message| {
+                message.verb == "ECHOED" && replaced.probe.is_some() && message.parse_tag() == replaced.probe
+            };
+            let set_ups_have_arrived = input.messages.iter().any(is_probe_result);
             if !self.handle_additional_input(now, id, input) {
-                self.close_replaced_connection(id);
+                self.lose_replaced_connection(id);
+            } else if set_ups_have_arrived {
+                self.confirm_arrival_of_set_ups(id);
             }
         }
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -8,6 +8,8 @@
 //!     PARTY refuses     closes its listener, so that connections to it are refused
 //!     PARTY > BYTES     sends bytes       PARTY < BYTES     receives exactly these bytes
 //!     PARTY < end       its connection has been closed
+//!     PARTY has ended   its connection has been closed already: there is no wait for the end
+//!     s1 answers COUNT  the caller c1 sends set-ups to exchange 1, each of which s1 answers at once
 //!     PARTY floods COUNT BYTES   a caller sends these bytes COUNT times and reads one message in reply each
 //!                       time; at most 100 are open. Eight bytes ee stand for a number that counts up, and so
 //!                       do 16 characters # (as hex digits) and 6 characters % (its last decimal digits)
@@ -244,6 +246,7 @@
                 SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
             }
             (_, "refuses") => drop(self.listeners.remove(listener_name).expect("a listener")),
+            ("s1", "answers") => self.answer_calls(argument.parse().unwrap()),
             (_, "floods") => self.flood(party, argument),
             ("memory", "<") => {
                 let limit_mb: f64 = argument.trim_end_matches(" MB").parse().unwrap();
@@ -260,6 +263,15 @@
                 Err(error) if error.kind() == ErrorKind::ConnectionReset => {}
                 other => panic!("{other:?} instead of the end of the connection"),
             },
+            (_, "has") if argument == "ended" => {
+                let connection = self.connection(party);
+                connection.get_ref().set_nonblocking(true).unwrap();
+                match connection.read_to_end(&mut vec![]) {
+                    Ok(_) => {}
+                    Err(error) if error.kind() == ErrorKind::ConnectionReset => {}
+                    Err(error) => panic!("{error:?} instead of the end of the connection"),
+                }
+            }
             (_, "<") if party.starts_with('c') => {
                 let expected = self.encode(party, argument);
                 let mut received = vec![0; expected.len()];
@@ -279,6 +291,15 @@
         }
     }
 
+    fn answer_calls(&mut self, count: u64) {
+        for tag in (0..count).map(|index| format!("{:016x}", 0x00f0_0000 + index)) {
+            self.execute(&format!(r#"c1 > #(01 {tag} b4#("check") b6#("9000") bc#("{tag}") be#("dest:1"))"#));
+            self.execute(&format!(r#"s1 < {{"verb":"START","tag":"{tag}",*"#));
+            self.execute(&format!(r#"s1 > {{"verb":"STARTED","tag":"{tag}"}}"#));
+            self.execute(&format!("c1 < #(09 {tag})"));
+        }
+    }
+
     fn flood(&mut self, party: &str, argument: &str) {
         let (count, notation) = argument.split_once(' ').expect("a count and bytes");
         let count: u64 = count.parse().unwrap();
@@ -377,6 +398,9 @@
     long_and_split_messages
     malformed_input
     no_caller_connected
+    quiet_connection_flows_again
+    quiet_connection_is_closed
+    quiet_connection_with_a_withdrawn_transit_call
     refused_connection
     refusals
     reload
