Repeat releases that a switch has not acknowledged on its next connection

Callers saw: nothing; their calls had ended. The call stayed up at the switch, with its circuits, when its release was on a connection that was reset or replaced, or had not left the gatekeeper when the connection ended.

Change: src/net/switches/releases.rs keeps a release until the switch acknowledges it, for 10 s at most, within the limit that was there for releases that wait for a connection. When its connection ends or is replaced, it goes out on the next one.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -63,9 +63,9 @@
 /// Memory that a call takes in call control and the controller, approximately.
 const BYTES_PER_CALL: usize = 1024;
 
-/// Most releases that wait for a connection to a switch, as a multiple of the calls that the call table may
-/// hold: a call may have to be released at more than one.
-const MAX_PENDING_RELEASES_PER_CALL: usize = 2;
+/// Most releases that switches have not acknowledged, as a multiple of the calls that the call table may hold: a
+/// call may have to be released at more than one.
+const MAX_UNACKNOWLEDGED_RELEASES_PER_CALL: usize = 2;
 /// Memory that the controller takes for a called number that it keeps, approximately.
 const BYTES_PER_CALLED_NUMBER: usize = 128;
 
@@ -143,7 +143,7 @@
             switches: SwitchLimits {
                 unsent_per_switch: memory_bytes / 64,
                 total_unsent: eighth_of_memory,
-                pending_releases: MAX_PENDING_RELEASES_PER_CALL * max_calls,
+                unacknowledged_releases: MAX_UNACKNOWLEDGED_RELEASES_PER_CALL * max_calls,
             },
             pending_releases_to_callers: max_calls,
             max_calls,
@@ -428,11 +428,11 @@
                             switches::set_up_message(tag, class, called_number, session_description);
                         self.send_set_up(switch, tag, message, deadline);
                     }
-                    Command::ReleaseAtSwitch { switch, tag } => self.switches.release(switch, tag),
+                    Command::ReleaseAtSwitch { switch, tag } => self.switches.release(now, switch, tag),
                     Command::WithdrawAttempt { tag, attempt, transit } => {
                         self.withdraw_attempt(tag, attempt, transit);
                     }
-                    Command::ReleaseAtAllSwitches(tag) => self.switches.release_at_all(tag),
+                    Command::ReleaseAtAllSwitches(tag) => self.switches.release_at_all(now, tag),
                     Command::Probe { switch, tag } => self.switches.probe(switch, tag),
                     Command::Answer { connection, tag, session_description } => {
                         self.callers.answer(now, connection, tag, session_description);
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -27,8 +27,10 @@
 use std::io;
 use std::net::SocketAddr;
 
+mod releases;
 mod replacement;
 
+use releases::UnacknowledgedReleases;
 use replacement::{CandidateConnection, ReplacedConnection};
 
 #[cfg(test)]
@@ -123,8 +125,7 @@
     listed: ListedSwitch,
     state: ConnectionState,
     queued_set_ups: Vec<QueuedSetUp>,
-    /// Calls that are released at the switch once the connection is established.
-    pending_releases: Vec<Tag>,
+    releases: UnacknowledgedReleases,
     /// Delay after the next failed attempt to connect.
     reconnect_delay: Micros,
     /// When a message was last received from the switch, or a connection to it established. While the
@@ -151,7 +152,7 @@
             listed,
             state: ConnectionState::Closed { reconnect_at: now },
             queued_set_ups: vec![],
-            pending_releases: vec![],
+            releases: UnacknowledgedReleases::default(),
             reconnect_delay: MIN_RECONNECT_DELAY,
             silent_since: now,
             timer: None,
@@ -174,8 +175,8 @@
     pub unsent_per_switch: usize,
     /// Bytes that wait to be sent to all switches together.
     pub total_unsent: usize,
-    /// Releases that wait for connections to switches.
-    pub pending_releases: usize,
+    /// Releases that no switch has acknowledged yet.
+    pub unacknowledged_releases: usize,
 }
 
 /// All carrier switches.
@@ -262,43 +263,6 @@
         }
     }
 
-    /// Releases an attempt or an answered call at a switch.
-    pub fn release(&mut self, id: SwitchId, tag: Tag) {
-        self.release_within(id, tag, self.limits.pending_releases);
-    }
-
-    /// Releases an attempt or a call at a switch, or keeps the release until there is a connection if fewer
-    /// than `max_pending` are kept for all switches.
-    fn release_within(&mut self, id: SwitchId, tag: Tag, max_pending: usize) {
-        let Some(switch) = self.by_id.get_mut(&id) else { return };
-        let queued_before = switch.queued_set_ups.len();
-        switch.queued_set_ups.retain(|set_up| set_up.tag != tag);
-        // A set-up that was still queued is unknown to the switch and needs no release.
-        let was_sent = switch.queued_set_ups.len() == queued_before;
-        if !was_sent || self.write_message(id, &release_message(tag)) {
-            return;
-        }
-        // Without a connection the release is kept until there is one, as the call would otherwise stay up at
-        // the switch.
-        if self.pending_release_count() < max_pending
-            && let Some(switch) = self.by_id.get_mut(&id)
-        {
-            switch.pending_releases.push(tag);
-        }
-    }
-
-    fn pending_release_count(&self) -> usize {
-        self.by_id.values().map(|switch| switch.pending_releases.len()).sum()
-    }
-
-    /// Releases a call at every switch. It may be up at none of them, so such releases leave half of the
-    /// limit on pending ones to those of known calls.
-    pub fn release_at_all(&mut self, tag: Tag) {
-        let ids: Vec<SwitchId> = self.by_id.keys().copied().collect();
-        let max_pending = self.limits.pending_releases / 2;
-        ids.into_iter().for_each(|id| self.release_within(id, tag, max_pending));
-    }
-
     /// Sends a probe to a switch. It is not sent if there is no open connection.
     pub fn probe(&mut self, id: SwitchId, tag: Tag) {
         self.write_message(id, &probe_message(tag));
@@ -451,6 +415,7 @@
             let output_buffer = open.connection.socket.output_buffer();
             if set_time_left(&mut message, deadline - now).encode(output_buffer) {
                 self.call_control.handle_set_up_written(id, tag, open.connection.id);
+                switch.releases.forget(tag);
             } else {
                 log(&format!(
                     "set-up {tag:016x} is not sent to switch {}: it exceeds the size limit of {} bytes",
@@ -521,6 +486,7 @@
         match std::mem::replace(&mut switch.state, ConnectionState::Closed { reconnect_at }) {
             ConnectionState::Open(OpenConnection { connection, .. })
             | ConnectionState::Connecting { connection, .. } => {
+                switch.releases.make_pending(connection.id);
                 if self.call_control.has_attempts_on(connection.id) {
                     connection.socket.abort(&self.switches.loop_handle);
                 } else {
@@ -609,11 +575,11 @@
         if let ConnectionState::Connecting { connection, .. } = state {
             switch.state = ConnectionState::Open(OpenConnection::new(connection, now));
         }
-        let pending_releases = std::mem::take(&mut switch.pending_releases);
+        let pending_releases = switch.releases.take_pending();
         let queued_set_ups = std::mem::take(&mut switch.queued_set_ups);
         self.set_switch_timer(id, now + CHECK_INTERVAL);
         for tag in pending_releases {
-            self.switches.write_message(id, &release_message(tag));
+            self.switches.release(now, id, tag);
         }
         for set_up in queued_set_ups {
             self.send_set_up(id, set_up.tag, set_up.message, set_up.deadline);
@@ -639,6 +605,11 @@
         if let Some(ConnectionState::Open(open)) = self.switches.by_id.get_mut(&id).map(|s| &mut s.state) {
             open.last_used_at = now;
         }
+        if matches!(message.verb.as_str(), "FINISH" | "FINISHED")
+            && let Some(switch) = self.switches.by_id.get_mut(&id)
+        {
+            switch.releases.forget(tag);
+        }
         match message.verb.as_str() {
             "STARTED" => self.call_control.handle_answer(now, id, tag, message.session_description),
             "FINISH" => {
--- /dev/null
+++ b/src/net/switches/releases.rs
@@ -0,0 +1,112 @@
+//! The releases that carrier switches have not acknowledged: those that wait for a connection, and those that
+//! were written to one. A connection that ends or is replaced may take releases with it, and the calls would stay
+//! up at their switch, so they are written again to the next connection.
+
+use super::{ConnectionState, Switches, release_message};
+use crate::call::{SwitchConnectionId, Tag};
+use crate::interface::{Micros, SECOND, SwitchId};
+use std::collections::HashMap;
+
+/// How long an acknowledgement is expected.
+const ACKNOWLEDGEMENT_TIMEOUT: Micros = 10 * SECOND;
+
+/// A release that was written to a connection.
+struct WrittenRelease {
+    connection: SwitchConnectionId,
+    written_at: Micros,
+}
+
+/// The releases that a switch has not acknowledged.
+#[derive(Default)]
+pub(super) struct UnacknowledgedReleases {
+    /// Calls that are released once a connection is established.
+    pending: Vec<Tag>,
+    written: HashMap<Tag, WrittenRelease>,
+}
+
+impl UnacknowledgedReleases {
+    fn count(&self) -> usize {
+        self.pending.len() + self.written.len()
+    }
+
+    #[cfg(test)]
+    pub(super) fn pending(&self) -> &[Tag] {
+        &self.pending
+    }
+
+    pub(super) fn take_pending(&mut self) -> Vec<Tag> {
+        std::mem::take(&mut self.pending)
+    }
+
+    /// The release of a call is on its way on another connection than before.
+    pub(super) fn move_to(&mut self, tag: Tag, connection: SwitchConnectionId) {
+        if let Some(release) = self.written.get_mut(&tag) {
+            release.connection = connection;
+        }
+    }
+
+    /// The switch has released a call or acknowledged its release, or the call is sent there once more and its
+    /// earlier release must not be repeated.
+    pub(super) fn forget(&mut self, tag: Tag) {
+        self.written.remove(&tag);
+    }
+
+    /// Removes the releases that were written to a connection and returns them, the oldest first.
+    pub(super) fn take_written_to(&mut self, connection: SwitchConnectionId) -> Vec<Tag> {
+        let taken = self.written.extract_if(|_, release| release.connection == connection);
+        let mut taken: Vec<(Micros, Tag)> = taken.map(|(tag, release)| (release.written_at, tag)).collect();
+        taken.sort_unstable();
+        taken.into_iter().map(|(_, tag)| tag).collect()
+    }
+
+    /// The releases that were written to a connection wait for the next one.
+    pub(super) fn make_pending(&mut self, connection: SwitchConnectionId) {
+        let written = self.take_written_to(connection);
+        self.pending.extend(written);
+    }
+
+    pub(super) fn remove_expired(&mut self, now: Micros) {
+        self.written.retain(|_, release| now < release.written_at + ACKNOWLEDGEMENT_TIMEOUT);
+    }
+}
+
+impl Switches {
+    /// Releases an attempt or an answered call at a switch.
+    pub fn release(&mut self, now: Micros, id: SwitchId, tag: Tag) {
+        self.release_within(now, id, tag, self.limits.unacknowledged_releases);
+    }
+
+    /// Releases a call at every switch. It may be up at none of them, so such releases leave half of the limit to
+    /// those of known calls.
+    pub fn release_at_all(&mut self, now: Micros, tag: Tag) {
+        let ids: Vec<SwitchId> = self.by_id.keys().copied().collect();
+        let max_count = self.limits.unacknowledged_releases / 2;
+        ids.into_iter().for_each(|id| self.release_within(now, id, tag, max_count));
+    }
+
+    /// Releases an attempt or a call at a switch. The release is kept for the next connection if fewer than
+    /// `max_count` are kept for all switches.
+    fn release_within(&mut self, now: Micros, id: SwitchId, tag: Tag, max_count: usize) {
+        let may_keep = self.unacknowledged_release_count() < max_count;
+        let Some(switch) = self.by_id.get_mut(&id) else { return };
+        let queued_before = switch.queued_set_ups.len();
+        switch.queued_set_ups.retain(|set_up| set_up.tag != tag);
+        if switch.queued_set_ups.len() < queued_before {
+            // A set-up that was still queued is unknown to the switch and needs no release.
+            return;
+        }
+        if let ConnectionState::Open(open) = &mut switch.state {
+            release_message(tag).encode(open.connection.socket.output_buffer());
+            if may_keep {
+                let connection = open.connection.id;
+                switch.releases.written.insert(tag, WrittenRelease { connection, written_at: now });
+            }
+        } else if may_keep {
+            switch.releases.pending.push(tag);
+        }
+    }
+
+    fn unacknowledged_release_count(&self) -> usize {
+        self.by_id.values().map(|switch| switch.releases.count()).sum()
+    }
+}
--- a/src/net/switches/replacement.rs
+++ b/src/net/switches/replacement.rs
@@ -90,6 +90,7 @@
         if !has_calls {
             switch.silent_since = now;
         }
+        switch.releases.remove_expired(now);
         let replaced_is_obsolete = switch.replaced.as_ref().is_some_and(|replaced| {
             let retention_expired = now >= replaced.replaced_at + REPLACED_CONNECTION_RETENTION;
             let has_attempts = self.call_control.has_attempts_on(replaced.connection.id);
@@ -169,6 +170,7 @@
         let open = ConnectionState::Open(OpenConnection::new(candidate.connection, now));
         if let ConnectionState::Open(mut old) = std::mem::replace(&mut switch.state, open) {
             let unsent = old.connection.socket.take_unsent_messages(lines::TERMINATOR);
+            let predecessor = old.connection.id;
             let mut replaced = ReplacedConnection::new(old.connection, now);
             if self.call_control.has_attempts_on(replaced.connection.id) {
                 replaced.probe = self.call_control.connection_probe_tag();
@@ -183,23 +185,33 @@
             if let Some(response_time) = response_time {
                 self.call_control.handle_switch_responsive(id, response_time);
             }
-            self.send_messages_of_predecessor(id, &unsent);
+            self.send_messages_of_predecessor(id, predecessor, &unsent);
         }
     }
 
-    /// Sends the messages on the open connection that could not be sent on the one that it has replaced.
-    fn send_messages_of_predecessor(&mut self, id: SwitchId, mut encoded: &[u8]) {
+    /// Sends the messages on the open connection that could not be sent on the one that it has replaced, and
+    /// repeats the releases that may be lost there.
+    fn send_messages_of_predecessor(
+        &mut self, id: SwitchId, predecessor: SwitchConnectionId, mut encoded: &[u8],
+    ) {
         let now = self.clock.now();
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let ConnectionState::Open(open) = &mut switch.state else { return };
         open.connection.socket.output_buffer().extend_from_slice(encoded);
         while let Ok(Some((message, size))) = lines::decode(encoded) {
             encoded = encoded.get(size..).unwrap_or_default();
-            if let Some(tag) = message.parse_tag().filter(|_| message.verb == "START") {
-                open.awaiting_response_since.get_or_insert(now);
-                self.call_control.handle_set_up_written(id, tag, open.connection.id);
+            match (message.verb.as_str(), message.parse_tag()) {
+                ("START", Some(tag)) => {
+                    open.awaiting_response_since.get_or_insert(now);
+                    self.call_control.handle_set_up_written(id, tag, open.connection.id);
+                }
+                ("FINISH", Some(tag)) => switch.releases.move_to(tag, open.connection.id),
+                _ => {}
             }
         }
+        for tag in switch.releases.take_written_to(predecessor) {
+            self.switches.release(now, id, tag);
+        }
     }
 
     /// Releases an attempt. If it was sent on the replaced connection, its set-up may arrive after the release;
@@ -207,7 +219,7 @@
     pub(in crate::net) fn withdraw_attempt(&mut self, tag: Tag, attempt: WithdrawnAttempt, transit: bool) {
         let now = self.clock.now();
         let id = attempt.switch;
-        self.switches.release(id, tag);
+        self.switches.release(now, id, tag);
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let Some(replaced) = &mut switch.replaced else { return };
         if attempt.connection == Some(replaced.connection.id) && !replaced.set_ups_have_arrived {
@@ -227,6 +239,7 @@
     /// late and end another attempt of the same call. The release on the open connection is repeated for a
     /// set-up that has arrived since the first one and was answered.
     pub(in crate::net) fn end_withdrawn_attempt(&mut self, tag: Tag, attempt: WithdrawnAttempt) {
+        let now = self.clock.now();
         let id = attempt.switch;
         let Some(connection) = attempt.connection else { return };
         let Some(switch) = self.switches.by_id.get(&id) else { return };
@@ -242,17 +255,18 @@
             }
             self.abandon_replaced_connection(id);
         }
-        self.switches.release(id, tag);
+        self.switches.release(now, id, tag);
     }
 
     /// All set-ups on the replaced connection have arrived, some perhaps after the releases of their attempts:
     /// these are repeated.
     fn confirm_arrival_of_set_ups(&mut self, id: SwitchId) {
+        let now = self.clock.now();
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let Some(replaced) = &mut switch.replaced else { return };
         replaced.set_ups_have_arrived = true;
         for tag in std::mem::take(&mut replaced.withdrawn) {
-            self.switches.release(id, tag);
+            self.switches.release(now, id, tag);
         }
     }
 
--- a/src/net/switches/tests.rs
+++ b/src/net/switches/tests.rs
@@ -26,7 +26,7 @@
 #[test]
 fn pending_releases_of_unknown_calls_leave_room_for_those_of_known_calls() {
     let event_loop: calloop::EventLoop<'static, Gatekeeper> = calloop::EventLoop::try_new().unwrap();
-    let limits = SwitchLimits { unsent_per_switch: 1000, total_unsent: 1000, pending_releases: 20 };
+    let limits = SwitchLimits { unsent_per_switch: 1000, total_unsent: 1000, unacknowledged_releases: 20 };
     let mut switches = Switches::new(event_loop.handle(), SECOND, SECOND, 0, limits);
     for id in [1, 2] {
         let listed = ListedSwitch {
@@ -38,9 +38,9 @@
         };
         switches.by_id.insert(SwitchId(id), Switch::new(listed, 0));
     }
-    (0..1000).for_each(|tag| switches.release_at_all(tag));
-    (1000..2000).for_each(|tag| switches.release(SwitchId(1), tag));
-    let pending = |id: u64| &switches.by_id[&SwitchId(id)].pending_releases;
+    (0..1000).for_each(|tag| switches.release_at_all(0, tag));
+    (1000..2000).for_each(|tag| switches.release(0, SwitchId(1), tag));
+    let pending = |id: u64| switches.by_id[&SwitchId(id)].releases.pending();
     assert_eq!(pending(2)[..], [0, 1, 2, 3, 4]);
     assert_eq!(pending(1)[..5], [0, 1, 2, 3, 4]);
     assert_eq!(pending(1)[5..], (1000..1010).collect::<Vec<u64>>());
--- a/src/net/tests.rs
+++ b/src/net/tests.rs
@@ -6,7 +6,7 @@
 /// room of its table.
 const ENDED_TAGS_PER_CALL: usize = 10;
 const BYTES_PER_ENDED_TAG: usize = 50;
-/// Memory that a release takes that waits for a connection, with the unused room of its queue.
+/// Memory that a release takes that waits for a connection or an acknowledgement, with the unused room of its queue.
 const BYTES_PER_RELEASE: usize = 64;
 /// Memory that the program itself takes.
 const PROGRAM_BYTES: usize = 5_000_000;
@@ -52,7 +52,7 @@
         let history = limits.history.called_numbers * 2 * BYTES_PER_CALLED_NUMBER
             + limits.history.remote_groups * BYTES_PER_REMOTE_GROUP;
         let ended_tags = ENDED_TAGS_PER_CALL * limits.max_calls * BYTES_PER_ENDED_TAG;
-        let pending_releases = limits.switches.pending_releases + limits.pending_releases_to_callers;
+        let pending_releases = limits.switches.unacknowledged_releases + limits.pending_releases_to_callers;
         let held_in_tables =
             calls + descriptions + history + ended_tags + pending_releases * BYTES_PER_RELEASE;
         let total = caller_buffers + peer_buffers + held_in_tables + limits.max_input_bytes;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -402,6 +402,7 @@
     quiet_connection_is_closed
     quiet_connection_with_a_withdrawn_transit_call
     refused_connection
+    release_lost_with_its_connection
     refusals
     reload
     reset_waits_for_the_release
