Probe a replaced connection only when an attempt on it is withdrawn

Change: the probe is sent when the first attempt is withdrawn, at least the release wait before the call is sent again. With a transit call it is sent when the connection is replaced, as before: its gatekeeper may send it elsewhere sooner.

--- a/src/call.rs
+++ b/src/call.rs
@@ -430,6 +430,11 @@
         self.calls.values().any(|call| call.attempt_on(connection).is_some())
     }
 
+    /// Whether one of them is of a transit call.
+    pub fn has_transit_attempts_on(&self, connection: SwitchConnectionId) -> bool {
+        self.calls.values().any(|call| call.transit && call.attempt_on(connection).is_some())
+    }
+
     // Messages and connections of callers.
 
     /// Takes a set-up from a caller. If the call table is full, the session descriptions would take too many
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -28,10 +28,12 @@
 use std::net::SocketAddr;
 
 mod releases;
+mod replaced;
 mod replacement;
 
 use releases::UnacknowledgedReleases;
-use replacement::{CandidateConnection, ReplacedConnection};
+use replaced::ReplacedConnection;
+use replacement::CandidateConnection;
 
 #[cfg(test)]
 mod tests;
--- a/src/net/switches/replacement.rs
+++ b/src/net/switches/replacement.rs
@@ -3,21 +3,18 @@
 
 use super::{
     CHECK_INTERVAL, ConnectionState, Input, OpenConnection, SILENCE_TIMEOUT, SwitchConnection,
-    UNREACHABLE_TIMEOUT, probe_message, read_messages,
+    UNREACHABLE_TIMEOUT, read_messages, replaced::ReplacedConnection,
 };
 use crate::call::{SwitchConnectionId, Tag, WithdrawnAttempt};
-use crate::interface::{MILLISECOND, Micros, SECOND, SwitchId};
-use crate::net::lines::{self, Message};
+use crate::interface::{MILLISECOND, Micros, SwitchId};
+use crate::net::lines;
 use crate::net::link::ReadStatus;
 use crate::net::pending_reads::PendingRead;
 use crate::net::{Gatekeeper, log};
-use std::io;
 
 /// If nothing has been received on a connection for this long after a set-up was sent, the connection itself
 /// may have failed. A second one is opened, and replaces the first if the switch sends a message on it.
-const RESPONSE_TIMEOUT: Micros = 150 * MILLISECOND;
-/// How long a replaced connection is still read, since a late answer may arrive on it.
-const REPLACED_CONNECTION_RETENTION: Micros = 3 * SECOND;
+pub(super) const RESPONSE_TIMEOUT: Micros = 150 * MILLISECOND;
 
 /// A second connection to a switch that does not respond on the open one. It shows whether the switch can
 /// still be reached, and may replace the open connection.
@@ -31,47 +28,6 @@
     first_message_delay: Option<Micros>,
 }
 
-/// A connection that has been replaced by a candidate connection. Set-ups may still be on their way on it, and
-/// arrive after their attempts have been released on the open connection.
-pub(super) struct ReplacedConnection {
-    connection: SwitchConnection,
-    replaced_at: Micros,
-    /// The probe that was sent last on this connection. Messages arrive in order, so that its result proves that
-    /// all set-ups have arrived.
-    probe: Option<Tag>,
-    /// The result of the probe has been received.
-    set_ups_have_arrived: bool,
-    /// The calls whose attempts were withdrawn before that was known.
-    withdrawn: Vec<Tag>,
-    /// One of them is a transit call, which another gatekeeper may send elsewhere at once.
-    has_withdrawn_transit_call: bool,
-}
-
-impl ReplacedConnection {
-    fn new(connection: SwitchConnection, now: Micros) -> Self {
-        ReplacedConnection {
-            connection,
-            replaced_at: now,
-            probe: None,
-            set_ups_have_arrived: false,
-            withdrawn: vec![],
-            has_withdrawn_transit_call: false,
-        }
-    }
-
-    /// Whether a set-up of a withdrawn transit call may arrive, and the result of the probe should have been
-    /// received by now.
-    fn must_be_closed(&self, now: Micros) -> bool {
-        let probe_is_overdue = now >= self.replaced_at + RESPONSE_TIMEOUT;
-        self.has_withdrawn_transit_call && !self.set_ups_have_arrived && probe_is_overdue
-    }
-
-    /// Sends the probe, and the rest of a message that was sent in part before the replacement.
-    pub(super) fn flush(&mut self) -> io::Result<()> {
-        self.connection.socket.flush()
-    }
-}
-
 impl Gatekeeper {
     /// Checks whether the switch responds on its open connection, and tries or uses a candidate connection if
     /// it does not.
@@ -92,9 +48,7 @@
         }
         switch.releases.remove_expired(now);
         let replaced_is_obsolete = switch.replaced.as_ref().is_some_and(|replaced| {
-            let retention_expired = now >= replaced.replaced_at + REPLACED_CONNECTION_RETENTION;
-            let has_attempts = self.call_control.has_attempts_on(replaced.connection.id);
-            retention_expired || replaced.must_be_closed(now) || !has_attempts
+            replaced.must_be_closed(now) || !self.call_control.has_attempts_on(replaced.connection.id)
         });
         if replaced_is_obsolete {
             self.abandon_replaced_connection(id);
@@ -172,11 +126,8 @@
             let unsent = old.connection.socket.take_unsent_messages(lines::TERMINATOR);
             let predecessor = old.connection.id;
             let mut replaced = ReplacedConnection::new(old.connection, now);
-            if self.call_control.has_attempts_on(replaced.connection.id) {
-                replaced.probe = self.call_control.connection_probe_tag();
-            }
-            if let Some(tag) = replaced.probe {
-                probe_message(tag).encode(replaced.connection.socket.output_buffer());
+            if self.call_control.has_transit_attempts_on(predecessor) {
+                replaced.check_arrival(now, self.call_control.connection_probe_tag());
             }
             switch.replaced = Some(replaced);
             // The old connection was at fault only if the switch had responded on it before. If it never did,
@@ -222,12 +173,15 @@
         self.switches.release(now, id, tag);
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let Some(replaced) = &mut switch.replaced else { return };
-        if attempt.connection == Some(replaced.connection.id) && !replaced.set_ups_have_arrived {
-            replaced.withdrawn.push(tag);
-            replaced.has_withdrawn_transit_call |= transit;
-            if replaced.must_be_closed(now) {
-                self.abandon_replaced_connection(id);
-            }
+        if attempt.connection != Some(replaced.connection.id) || replaced.set_ups_have_arrived {
+            return;
+        }
+        if !replaced.is_checked() {
+            replaced.check_arrival(now, self.call_control.connection_probe_tag());
+        }
+        replaced.withdraw(tag, transit);
+        if replaced.must_be_closed(now) {
+            self.abandon_replaced_connection(id);
         }
     }
 
@@ -265,7 +219,7 @@
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let Some(replaced) = &mut switch.replaced else { return };
         replaced.set_ups_have_arrived = true;
-        for tag in std::mem::take(&mut replaced.withdrawn) {
+        for tag in replaced.take_withdrawn() {
             self.switches.release(now, id, tag);
         }
     }
@@ -329,10 +283,7 @@
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         if let Some(replaced) = &mut switch.replaced {
             let input = read_messages(&mut replaced.connection.socket);
-            let is_probe_result = |message: &Message| {
-                message.verb == "ECHOED" && replaced.probe.is_some() && message.parse_tag() == replaced.probe
-            };
-            let set_ups_have_arrived = input.messages.iter().any(is_probe_result);
+            let set_ups_have_arrived = input.messages.iter().any(|message| replaced.is_probe_result(message));
             if !self.handle_additional_input(now, id, input) {
                 self.lose_replaced_connection(id);
             } else if set_ups_have_arrived {
