Match answers and releases of a switch with attempts by their connection

Callers saw: the session description of an attempt that was over, where its answer came late on a replaced connection and the call had been sent again. A late refusal ended the present attempt, and the call went out beside it.

Cause: handle_answer() and handle_switch_release() in src/call.rs took any message of the switch with the call's tag for one of the attempt in progress.

Evidence: the new exchange failed on the code of the commit before: the caller got "first" in place of "second".

Change: ids of connections rise, and a message that was received on an earlier connection than that of the attempt's set-up is not taken for it. A set-up that is too long ends its attempt directly in place of a made-up release. The tests of call control name the connection; their assertions are unchanged.

--- a/src/call.rs
+++ b/src/call.rs
@@ -47,7 +47,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(pub u64);
 
-/// Identifies a connection to a switch. Ids are not used again.
+/// Identifies a connection to a switch. Ids are not used again; a later connection has a higher one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SwitchConnectionId(pub u64);
 
@@ -263,6 +263,12 @@
 }
 
 impl Attempt {
+    /// Whether its set-up was written to a later connection than this one, or not at all yet. What is received
+    /// on this one then concerns an earlier attempt.
+    fn is_later_than(&self, connection: SwitchConnectionId) -> bool {
+        self.connection.is_none_or(|own| own > connection)
+    }
+
     fn withdrawn(&self) -> WithdrawnAttempt {
         WithdrawnAttempt { switch: self.switch, connection: self.connection }
     }
@@ -569,13 +575,18 @@
 
     // Messages and connections of switches.
 
-    /// Takes an answer from a switch.
+    /// Takes an answer from a switch, which was received on `connection`.
     pub fn handle_answer(
-        &mut self, now: Micros, switch: SwitchId, tag: Tag, session_description: Option<String>,
+        &mut self, now: Micros, switch: SwitchId, connection: SwitchConnectionId, tag: Tag,
+        session_description: Option<String>,
     ) {
         let id = self.call_ids.get(&tag).copied();
         let call = id.and_then(|id| self.calls.get_mut(&id).map(|call| (id, call)));
         if let Some((id, call)) = call {
+            if call.attempt_at(switch).is_some_and(|attempt| attempt.is_later_than(connection)) {
+                // The answer to an earlier attempt, which is over.
+                return;
+            }
             if call.attempt_at(switch).is_some()
                 && let Some(attempt) = call.take_attempt(&mut self.timers)
             {
@@ -601,8 +612,10 @@
         }
     }
 
-    /// Takes a release from a switch, of an attempt or of an answered call.
-    pub fn handle_switch_release(&mut self, now: Micros, switch: SwitchId, tag: Tag, release: Release) {
+    /// Takes a release from a switch, of an attempt or of an answered call, which was received on `connection`.
+    pub fn handle_switch_release(
+        &mut self, now: Micros, switch: SwitchId, connection: SwitchConnectionId, tag: Tag, release: Release,
+    ) {
         let Some(id) = self.call_ids.get(&tag).copied() else {
             self.handle_load_report(switch, release.report);
             let may_have_been_answered =
@@ -615,6 +628,9 @@
             return;
         };
         let Some(call) = self.calls.get_mut(&id) else { return };
+        if call.attempt_at(switch).is_some_and(|attempt| attempt.is_later_than(connection)) {
+            return self.handle_load_report(switch, release.report);
+        }
         if call.attempt_at(switch).is_some()
             && let Some(attempt) = call.take_attempt(&mut self.timers)
         {
@@ -684,6 +700,11 @@
         }
     }
 
+    /// Ends the attempt whose set-up is too long to be sent.
+    pub fn fail_oversized_set_up(&mut self, switch: SwitchId, tag: Tag) {
+        self.end_attempts(switch, Outcome::Failed, |call| call.tag == tag);
+    }
+
     /// The set-up of a call's attempt at a switch has been written to a connection.
     pub fn handle_set_up_written(&mut self, switch: SwitchId, tag: Tag, connection: SwitchConnectionId) {
         let call = self.call_ids.get(&tag).and_then(|id| self.calls.get_mut(id));
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -105,7 +105,7 @@
     fn set_up_answered_call(&mut self, tag: Tag) {
         let commands = self.set_up_call(tag, 3000 * MILLISECOND);
         assert!(matches!(commands[..], [Command::SetUp { .. }]), "{commands:?}");
-        self.call_control.handle_answer(self.now, SWITCH, tag, None);
+        self.call_control.handle_answer(self.now, SWITCH, CONNECTION, tag, None);
         assert_eq!(
             self.run_iteration(),
             [Command::Answer { connection: CALLER, tag, session_description: None }]
@@ -121,7 +121,7 @@
     fixture.set_up_call(1, 300 * MILLISECOND);
     fixture.now += 285 * MILLISECOND;
     fixture.run_due_timers();
-    fixture.call_control.handle_answer(fixture.now, SWITCH, 1, None);
+    fixture.call_control.handle_answer(fixture.now, SWITCH, CONNECTION, 1, None);
     assert_eq!(
         fixture.run_iteration(),
         [Command::Answer { connection: CALLER, tag: 1, session_description: None }]
@@ -138,7 +138,7 @@
     let attempt = WithdrawnAttempt { switch: SWITCH, connection: Some(CONNECTION) };
     let withdrawal = Command::WithdrawAttempt { tag: 1, attempt, transit: false };
     assert_eq!(commands, [withdrawal, reject]);
-    fixture.call_control.handle_answer(fixture.now, SWITCH, 1, None);
+    fixture.call_control.handle_answer(fixture.now, SWITCH, CONNECTION, 1, None);
     assert_eq!(fixture.run_iteration(), [Command::ReleaseAtSwitch { switch: SWITCH, tag: 1 }]);
 }
 
@@ -217,8 +217,8 @@
         report: LoadReport::default(),
     };
     let command = Command::ReleaseToCaller { connection: None, tag: 5, cause: cause::NORMAL_CLEARING };
-    fixture.call_control.handle_switch_release(fixture.now, SWITCH, 5, release());
-    fixture.call_control.handle_switch_release(fixture.now, SWITCH, 5, release());
+    fixture.call_control.handle_switch_release(fixture.now, SWITCH, CONNECTION, 5, release());
+    fixture.call_control.handle_switch_release(fixture.now, SWITCH, CONNECTION, 5, release());
     fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 5);
     assert_eq!(fixture.run_iteration(), [command]);
     fixture.now += ENDED_TAG_RETENTION + MILLISECOND;
@@ -253,7 +253,7 @@
     };
     assert!(matches!(set_up_with_description(&mut fixture, 1)[..], [Command::SetUp { tag: 1, .. }]));
     assert!(matches!(set_up_with_description(&mut fixture, 2)[..], [Command::Reject { tag: 2, .. }]));
-    fixture.call_control.handle_answer(fixture.now, SWITCH, 1, None);
+    fixture.call_control.handle_answer(fixture.now, SWITCH, CONNECTION, 1, None);
     fixture.run_iteration();
     assert!(matches!(set_up_with_description(&mut fixture, 3)[..], [Command::SetUp { tag: 3, .. }]));
     fixture.call_control.handle_caller_release(fixture.now, TRUSTED_CALLER, 3);
@@ -302,7 +302,7 @@
         reason: EndReason::ProcessorCongested(0),
         report: LoadReport::default(),
     };
-    fixture.call_control.handle_switch_release(fixture.now, SWITCH, 5, release);
+    fixture.call_control.handle_switch_release(fixture.now, SWITCH, CONNECTION, 5, release);
     fixture.now += 10 * MILLISECOND;
     assert!(matches!(fixture.run_iteration()[..], [Command::Reject { tag: 5, .. }]));
     fixture.set_up_answered_call(6);
@@ -364,7 +364,7 @@
         fixture.offer(refused);
     }
     assert!(fixture.call_control.ended_tags.len() <= 201, "the call table holds 100 calls");
-    fixture.call_control.handle_answer(fixture.now, SWITCH, 1, None);
+    fixture.call_control.handle_answer(fixture.now, SWITCH, CONNECTION, 1, None);
     assert_eq!(fixture.call_control.commands, [Command::ReleaseAtSwitch { switch: SWITCH, tag: 1 }]);
 }
 
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -18,9 +18,7 @@
 use super::pending_reads::PendingRead;
 use super::{Gatekeeper, log};
 use crate::call::{Release, SwitchConnectionId, Tag, TimerEvent, cause};
-use crate::interface::{
-    EndReason, ExchangeNumber, Health, LoadReport, MILLISECOND, Micros, SECOND, SwitchId,
-};
+use crate::interface::{ExchangeNumber, Health, MILLISECOND, Micros, SECOND, SwitchId};
 use crate::timers::TimerId;
 use calloop::LoopHandle;
 use std::collections::{BTreeMap, HashMap};
@@ -424,12 +422,7 @@
                     switch.listed.name,
                     lines::MAX_MESSAGE_BYTES
                 ));
-                let release = Release {
-                    cause: cause::RESOURCE_UNAVAILABLE,
-                    reason: EndReason::Unknown,
-                    report: LoadReport::default(),
-                };
-                self.call_control.handle_switch_release(now, id, tag, release);
+                self.call_control.fail_oversized_set_up(id, tag);
             }
             return;
         }
@@ -547,9 +540,11 @@
             open.awaiting_response_since = None;
         }
         open.has_responded |= input.messages.iter().any(|message| message.verb != "LOAD");
+        let connection = open.connection.id;
         let name = switch.listed.name.clone();
         let mut messages = input.messages.into_iter();
-        let result = messages.try_for_each(|message| self.handle_switch_message(now, id, message));
+        let result =
+            messages.try_for_each(|message| self.handle_switch_message(now, id, connection, message));
         if let Err(error) = result.and(input.decode_result) {
             log(&format!("switch {name} sent {error}: its connection is closed"));
             return self.close_switch_connections_until(id, now + MIN_RECONNECT_DELAY);
@@ -588,12 +583,12 @@
         }
     }
 
-    /// Handles a message from a switch, whichever of its connections it was received on.
+    /// Handles a message from a switch, received on any of its connections.
     ///
     /// # Errors
     /// Describes what is malformed.
     fn handle_switch_message(
-        &mut self, now: Micros, id: SwitchId, message: Message,
+        &mut self, now: Micros, id: SwitchId, connection: SwitchConnectionId, message: Message,
     ) -> Result<(), &'static str> {
         if let Some(switch) = self.switches.by_id.get_mut(&id) {
             switch.initial_state_known = true;
@@ -613,12 +608,15 @@
             switch.releases.forget(tag);
         }
         match message.verb.as_str() {
-            "STARTED" => self.call_control.handle_answer(now, id, tag, message.session_description),
+            "STARTED" => {
+                self.call_control.handle_answer(now, id, connection, tag, message.session_description);
+            }
             "FINISH" => {
                 let reason = message.release_reason();
                 let report = message.load_report();
                 let cause = message.result_code.ok_or("a release without a cause")?;
-                self.call_control.handle_switch_release(now, id, tag, Release { cause, reason, report });
+                let release = Release { cause, reason, report };
+                self.call_control.handle_switch_release(now, id, connection, tag, release);
                 self.switches.write_message(id, &Message::new("FINISHED", tag));
             }
             "ECHOED" => {
--- a/src/net/switches/replacement.rs
+++ b/src/net/switches/replacement.rs
@@ -273,7 +273,8 @@
                     if !input.messages.is_empty() {
                         candidate.first_message_delay.get_or_insert(now - candidate.started_at);
                     }
-                    if !self.handle_additional_input(now, id, input) {
+                    let connection = candidate.connection.id;
+                    if !self.handle_additional_input(now, id, connection, input) {
                         self.close_candidate_connection(id);
                     }
                 }
@@ -284,7 +285,8 @@
         if let Some(replaced) = &mut switch.replaced {
             let input = read_messages(&mut replaced.connection.socket);
             let set_ups_have_arrived = input.messages.iter().any(|message| replaced.is_probe_result(message));
-            if !self.handle_additional_input(now, id, input) {
+            let connection = replaced.connection.id;
+            if !self.handle_additional_input(now, id, connection, input) {
                 self.lose_replaced_connection(id);
             } else if set_ups_have_arrived {
                 self.confirm_arrival_of_set_ups(id);
@@ -294,9 +296,12 @@
 
     /// Handles what was read from the candidate or the replaced connection. Returns false if that connection
     /// must be closed.
-    fn handle_additional_input(&mut self, now: Micros, id: SwitchId, input: Input) -> bool {
+    fn handle_additional_input(
+        &mut self, now: Micros, id: SwitchId, connection: SwitchConnectionId, input: Input,
+    ) -> bool {
         let mut messages = input.messages.into_iter();
-        let result = messages.try_for_each(|message| self.handle_switch_message(now, id, message));
+        let result =
+            messages.try_for_each(|message| self.handle_switch_message(now, id, connection, message));
         let result = result.and(input.decode_result);
         if input.status == ReadStatus::MorePossible {
             self.pending_reads.push(PendingRead::Switch(id));
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -395,6 +395,7 @@
     flood_of_transit_set_ups
     group_full_takes_the_tandem
     idle_close
+    late_answer_of_an_earlier_attempt
     long_and_split_messages
     malformed_input
     no_caller_connected
