Let no late release on a quiet connection end a later attempt of its call

Change: while the open connection does not respond, the release of an attempt whose call may be sent again is deferred until the call is sent or ends, there is a response, or the connection ends or is replaced. A call whose release is on a replaced connection waits until that has arrived, 3 s at most. An exchange may have several lines of changed configuration.

--- a/src/call.rs
+++ b/src/call.rs
@@ -18,8 +18,8 @@
 pub mod unknown_releases;
 
 pub use messages::{
-    CallLimits, Caller, Command, ConnectionId, Release, SetUp, SetUpError, SwitchConnectionId, Tag,
-    TimerEvent, WithdrawnAttempt, cause,
+    AfterWithdrawal, CallLimits, Caller, Command, ConnectionId, Release, SetUp, SetUpError,
+    SwitchConnectionId, Tag, TimerEvent, WithdrawnAttempt, cause,
 };
 
 use ended_tags::EndedTags;
@@ -683,8 +683,9 @@
         let Some(attempt) = call.take_attempt(&mut self.timers) else { return };
         let withdrawn = attempt.withdrawn();
         call.withdrawn.push(withdrawn);
-        let (tag, transit) = (call.tag, call.transit);
-        self.commands.push(Command::WithdrawAttempt { tag, attempt: withdrawn, transit });
+        let next = if call.transit { AfterWithdrawal::TransitEnded } else { AfterWithdrawal::MayBeSentAgain };
+        let tag = call.tag;
+        self.commands.push(Command::WithdrawAttempt { tag, attempt: withdrawn, next });
         self.push_attempt_end(id, number, attempt.switch, outcome, false);
     }
 
@@ -727,8 +728,12 @@
     /// Removes a call from the call table. All calls are removed here, so that their tags and their share of
     /// the bytes of session descriptions are always freed.
     fn remove_call(&mut self, now: Micros, id: CallId) -> Option<Call> {
-        let call = self.calls.remove(&id)?;
+        let mut call = self.calls.remove(&id)?;
         self.call_ids.remove(&call.tag);
+        if !call.withdrawn.is_empty() {
+            let withdrawn = std::mem::take(&mut call.withdrawn);
+            self.commands.push(Command::WaitingCallEnded { tag: call.tag, withdrawn });
+        }
         let description_bytes = call.session_description.as_ref().map_or(0, String::len);
         self.unanswered.remove(call.connection, id, description_bytes);
         if call.next_attempt > 0 {
@@ -752,8 +757,9 @@
 
     /// Releases the attempt of a call that has been removed.
     fn withdraw_attempt(&mut self, call: &Call, attempt: &Attempt) {
-        let Call { tag, transit, .. } = *call;
-        self.commands.push(Command::WithdrawAttempt { tag, attempt: attempt.withdrawn(), transit });
+        let next = if call.transit { AfterWithdrawal::TransitEnded } else { AfterWithdrawal::Ended };
+        let attempt = attempt.withdrawn();
+        self.commands.push(Command::WithdrawAttempt { tag: call.tag, attempt, next });
     }
 
     fn release_at_switch(&mut self, tag: Tag, switch: SwitchId) {
--- a/src/call/messages.rs
+++ b/src/call/messages.rs
@@ -112,6 +112,18 @@
     pub connection: Option<SwitchConnectionId>,
 }
 
+/// What becomes of a call after an attempt was withdrawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterWithdrawal {
+    /// It may be sent again after the release wait.
+    MayBeSentAgain,
+    /// It has ended.
+    Ended,
+    /// It is a transit call and has ended here. The gatekeeper that has passed it on may send it elsewhere at
+    /// once.
+    TransitEnded,
+}
+
 /// A message to send or a line to log. Commands are carried out in the order of the list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
@@ -145,8 +157,15 @@
         tag: Tag,
         /// Its attempt.
         attempt: WithdrawnAttempt,
-        /// The call is passed on by another gatekeeper, which may send it elsewhere at once.
-        transit: bool,
+        /// What becomes of the call.
+        next: AfterWithdrawal,
+    },
+    /// A call has ended that waited to be sent again.
+    WaitingCallEnded {
+        /// The call.
+        tag: Tag,
+        /// The attempts that were withdrawn since its last set-up.
+        withdrawn: Vec<WithdrawnAttempt>,
     },
     /// Release a call at all switches. It was set up before this program started, at an unknown switch.
     ReleaseAtAllSwitches(Tag),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -429,8 +429,13 @@
                         self.send_set_up(switch, tag, message, deadline);
                     }
                     Command::ReleaseAtSwitch { switch, tag } => self.switches.release(now, switch, tag),
-                    Command::WithdrawAttempt { tag, attempt, transit } => {
-                        self.withdraw_attempt(tag, attempt, transit);
+                    Command::WithdrawAttempt { tag, attempt, next } => {
+                        self.withdraw_attempt(tag, attempt, next);
+                    }
+                    Command::WaitingCallEnded { tag, withdrawn } => {
+                        for attempt in withdrawn {
+                            self.send_deferred_release(tag, attempt);
+                        }
                     }
                     Command::ReleaseAtAllSwitches(tag) => self.switches.release_at_all(now, tag),
                     Command::Probe { switch, tag } => self.switches.probe(switch, tag),
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -31,7 +31,7 @@
 
 use releases::UnacknowledgedReleases;
 use replaced::ReplacedConnection;
-use replacement::CandidateConnection;
+use replacement::{CandidateConnection, RESPONSE_TIMEOUT};
 
 #[cfg(test)]
 mod tests;
@@ -83,6 +83,14 @@
     awaiting_response_since: Option<Micros>,
     /// A message other than a load report has been received on this connection.
     has_responded: bool,
+    deferred_releases: Vec<DeferredRelease>,
+}
+
+/// The release of an attempt whose call waits to be sent again. It is sent once it is clear on which connection.
+struct DeferredRelease {
+    tag: Tag,
+    /// The connection that the set-up of the attempt was written to.
+    connection: SwitchConnectionId,
 }
 
 impl OpenConnection {
@@ -93,8 +101,13 @@
             last_used_at: now,
             awaiting_response_since: None,
             has_responded: false,
+            deferred_releases: vec![],
         }
     }
+
+    fn response_is_overdue(&self, now: Micros) -> bool {
+        self.awaiting_response_since.is_some_and(|since| now >= since + RESPONSE_TIMEOUT)
+    }
 }
 
 /// A carrier switch as the control feed describes it.
@@ -113,7 +126,7 @@
     pub up_since: Option<Micros>,
 }
 
-/// A set-up that is sent once the connection is established.
+/// A set-up that is sent later.
 struct QueuedSetUp {
     tag: Tag,
     message: Message,
@@ -124,6 +137,7 @@
 struct Switch {
     listed: ListedSwitch,
     state: ConnectionState,
+    /// Set-ups that wait for a connection, or for the release of an earlier attempt to arrive.
     queued_set_ups: Vec<QueuedSetUp>,
     releases: UnacknowledgedReleases,
     /// Delay after the next failed attempt to connect.
@@ -409,7 +423,9 @@
             self.close_switch_connections_until(id, now);
         }
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        if let ConnectionState::Open(open) = &mut switch.state {
+        if let ConnectionState::Open(open) = &mut switch.state
+            && !switch.releases.may_arrive_late(tag)
+        {
             open.last_used_at = now;
             open.awaiting_response_since.get_or_insert(now);
             let output_buffer = open.connection.socket.output_buffer();
@@ -478,6 +494,10 @@
     /// established is closed nowhere else.
     fn close_switch_connections_until(&mut self, id: SwitchId, reconnect_at: Micros) {
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        let mut deferred_releases = vec![];
+        if let ConnectionState::Open(open) = &mut switch.state {
+            deferred_releases = std::mem::take(&mut open.deferred_releases);
+        }
         match std::mem::replace(&mut switch.state, ConnectionState::Closed { reconnect_at }) {
             ConnectionState::Open(OpenConnection { connection, .. })
             | ConnectionState::Connecting { connection, .. } => {
@@ -491,6 +511,7 @@
             }
             ConnectionState::Closed { .. } => {}
         }
+        self.send_deferred_releases(id, deferred_releases);
         self.close_candidate_connection(id);
         self.lose_replaced_connection(id);
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
@@ -536,12 +557,15 @@
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let ConnectionState::Open(open) = &mut switch.state else { return };
         let input = read_messages(&mut open.connection.socket);
+        let mut deferred_releases = vec![];
         if !input.messages.is_empty() {
             open.awaiting_response_since = None;
+            deferred_releases = std::mem::take(&mut open.deferred_releases);
         }
         open.has_responded |= input.messages.iter().any(|message| message.verb != "LOAD");
         let connection = open.connection.id;
         let name = switch.listed.name.clone();
+        self.send_deferred_releases(id, deferred_releases);
         let mut messages = input.messages.into_iter();
         let result =
             messages.try_for_each(|message| self.handle_switch_message(now, id, connection, message));
@@ -573,12 +597,17 @@
             switch.state = ConnectionState::Open(OpenConnection::new(connection, now));
         }
         let pending_releases = switch.releases.take_pending();
-        let queued_set_ups = std::mem::take(&mut switch.queued_set_ups);
         self.set_switch_timer(id, now + CHECK_INTERVAL);
         for tag in pending_releases {
-            self.switches.release(now, id, tag);
+            self.switches.repeat_release(now, id, tag);
         }
-        for set_up in queued_set_ups {
+        self.send_queued_set_ups(id);
+    }
+
+    /// Sends the queued set-ups, but for those that still have to wait.
+    fn send_queued_set_ups(&mut self, id: SwitchId) {
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        for set_up in std::mem::take(&mut switch.queued_set_ups) {
             self.send_set_up(id, set_up.tag, set_up.message, set_up.deadline);
         }
     }
@@ -606,6 +635,9 @@
             && let Some(switch) = self.switches.by_id.get_mut(&id)
         {
             switch.releases.forget(tag);
+            if message.verb == "FINISHED" {
+                switch.releases.acknowledge(tag, connection);
+            }
         }
         match message.verb.as_str() {
             "STARTED" => {
--- a/src/net/switches/releases.rs
+++ b/src/net/switches/releases.rs
@@ -1,6 +1,9 @@
 //! The releases that carrier switches have not acknowledged: those that wait for a connection, and those that
 //! were written to one. A connection that ends or is replaced may take releases with it, and the calls would stay
 //! up at their switch, so they are written again to the next connection.
+//!
+//! A release that is still on its way on a replaced connection could end a later attempt of its call. Such a
+//! call is not sent to the switch until the release has arrived, or is not expected to any more.
 
 use super::{ConnectionState, Switches, release_message};
 use crate::call::{SwitchConnectionId, Tag};
@@ -10,6 +13,9 @@
 /// How long an acknowledgement is expected.
 const ACKNOWLEDGEMENT_TIMEOUT: Micros = 10 * SECOND;
 
+/// How long after the replacement of a connection a release on it is expected to arrive.
+const LATE_ARRIVAL_TIMEOUT: Micros = 3 * SECOND;
+
 /// A release that was written to a connection.
 struct WrittenRelease {
     connection: SwitchConnectionId,
@@ -22,11 +28,13 @@
     /// Calls that are released once a connection is established.
     pending: Vec<Tag>,
     written: HashMap<Tag, WrittenRelease>,
+    /// The releases that may still arrive on replaced connections.
+    late: HashMap<Tag, WrittenRelease>,
 }
 
 impl UnacknowledgedReleases {
     fn count(&self) -> usize {
-        self.pending.len() + self.written.len()
+        self.pending.len() + self.written.len() + self.late.len()
     }
 
     #[cfg(test)]
@@ -38,6 +46,10 @@
         std::mem::take(&mut self.pending)
     }
 
+    pub(super) fn record_written(&mut self, tag: Tag, connection: SwitchConnectionId, now: Micros) {
+        self.written.insert(tag, WrittenRelease { connection, written_at: now });
+    }
+
     /// The release of a call is on its way on another connection than before.
     pub(super) fn move_to(&mut self, tag: Tag, connection: SwitchConnectionId) {
         if let Some(release) = self.written.get_mut(&tag) {
@@ -59,6 +71,32 @@
         taken.into_iter().map(|(_, tag)| tag).collect()
     }
 
+    /// A connection has been replaced. Returns the calls whose releases are to be repeated on its successor, the
+    /// oldest first.
+    pub(super) fn replace(&mut self, connection: SwitchConnectionId, now: Micros) -> Vec<Tag> {
+        let written = self.take_written_to(connection);
+        let late = written.iter().map(|tag| (*tag, WrittenRelease { connection, written_at: now }));
+        self.late.extend(late);
+        written
+    }
+
+    /// Whether a release of the call may still arrive on a replaced connection.
+    pub(super) fn may_arrive_late(&self, tag: Tag) -> bool {
+        self.late.contains_key(&tag)
+    }
+
+    /// The switch has acknowledged the release that was written to a connection.
+    pub(super) fn acknowledge(&mut self, tag: Tag, connection: SwitchConnectionId) {
+        if self.late.get(&tag).is_some_and(|release| release.connection == connection) {
+            self.late.remove(&tag);
+        }
+    }
+
+    /// All messages that were written to a connection have arrived.
+    pub(super) fn acknowledge_all(&mut self, connection: SwitchConnectionId) {
+        self.late.retain(|_, release| release.connection != connection);
+    }
+
     /// The releases that were written to a connection wait for the next one.
     pub(super) fn make_pending(&mut self, connection: SwitchConnectionId) {
         let written = self.take_written_to(connection);
@@ -67,6 +105,7 @@
 
     pub(super) fn remove_expired(&mut self, now: Micros) {
         self.written.retain(|_, release| now < release.written_at + ACKNOWLEDGEMENT_TIMEOUT);
+        self.late.retain(|_, release| now < release.written_at + LATE_ARRIVAL_TIMEOUT);
     }
 }
 
@@ -87,19 +126,27 @@
     /// Releases an attempt or a call at a switch. The release is kept for the next connection if fewer than
     /// `max_count` are kept for all switches.
     fn release_within(&mut self, now: Micros, id: SwitchId, tag: Tag, max_count: usize) {
-        let may_keep = self.unacknowledged_release_count() < max_count;
         let Some(switch) = self.by_id.get_mut(&id) else { return };
         let queued_before = switch.queued_set_ups.len();
         switch.queued_set_ups.retain(|set_up| set_up.tag != tag);
-        if switch.queued_set_ups.len() < queued_before {
-            // A set-up that was still queued is unknown to the switch and needs no release.
-            return;
+        // A set-up that was still queued is unknown to the switch and needs no release.
+        if switch.queued_set_ups.len() == queued_before {
+            self.write_release(now, id, tag, max_count);
         }
+    }
+
+    /// Sends the release of an earlier attempt once more. A set-up of the call that is queued stays.
+    pub(super) fn repeat_release(&mut self, now: Micros, id: SwitchId, tag: Tag) {
+        self.write_release(now, id, tag, self.limits.unacknowledged_releases);
+    }
+
+    fn write_release(&mut self, now: Micros, id: SwitchId, tag: Tag, max_count: usize) {
+        let may_keep = self.unacknowledged_release_count() < max_count;
+        let Some(switch) = self.by_id.get_mut(&id) else { return };
         if let ConnectionState::Open(open) = &mut switch.state {
             release_message(tag).encode(open.connection.socket.output_buffer());
             if may_keep {
-                let connection = open.connection.id;
-                switch.releases.written.insert(tag, WrittenRelease { connection, written_at: now });
+                switch.releases.record_written(tag, open.connection.id, now);
             }
         } else if may_keep {
             switch.releases.pending.push(tag);
--- a/src/net/switches/replacement.rs
+++ b/src/net/switches/replacement.rs
@@ -2,10 +2,10 @@
 //! how long the one that was replaced is kept.
 
 use super::{
-    CHECK_INTERVAL, ConnectionState, Input, OpenConnection, SILENCE_TIMEOUT, SwitchConnection,
-    UNREACHABLE_TIMEOUT, read_messages, replaced::ReplacedConnection,
+    CHECK_INTERVAL, ConnectionState, DeferredRelease, Input, OpenConnection, SILENCE_TIMEOUT,
+    SwitchConnection, UNREACHABLE_TIMEOUT, read_messages, replaced::ReplacedConnection,
 };
-use crate::call::{SwitchConnectionId, Tag, WithdrawnAttempt};
+use crate::call::{AfterWithdrawal, SwitchConnectionId, Tag, WithdrawnAttempt};
 use crate::interface::{MILLISECOND, Micros, SwitchId};
 use crate::net::lines;
 use crate::net::link::ReadStatus;
@@ -36,17 +36,17 @@
         let has_calls = self.call_control.has_calls_at(id);
         self.set_switch_timer(id, now + CHECK_INTERVAL);
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        switch.releases.remove_expired(now);
+        self.send_queued_set_ups(id);
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let ConnectionState::Open(open) = &switch.state else { return };
         // A switch that accepts connections and sends nothing must not keep the gatekeeper from being ready.
         switch.initial_state_known |= now >= open.opened_at + SILENCE_TIMEOUT;
-        let response_is_overdue =
-            open.awaiting_response_since.is_some_and(|since| now >= since + RESPONSE_TIMEOUT);
         // Only one replaced connection is kept at a time.
-        let needs_replacement = response_is_overdue && switch.replaced.is_none();
+        let needs_replacement = open.response_is_overdue(now) && switch.replaced.is_none();
         if !has_calls {
             switch.silent_since = now;
         }
-        switch.releases.remove_expired(now);
         let replaced_is_obsolete = switch.replaced.as_ref().is_some_and(|replaced| {
             replaced.must_be_closed(now) || !self.call_control.has_attempts_on(replaced.connection.id)
         });
@@ -126,7 +126,9 @@
             let unsent = old.connection.socket.take_unsent_messages(lines::TERMINATOR);
             let predecessor = old.connection.id;
             let mut replaced = ReplacedConnection::new(old.connection, now);
-            if self.call_control.has_transit_attempts_on(predecessor) {
+            let deferred = old.deferred_releases.iter().filter(|release| release.connection == predecessor);
+            deferred.for_each(|release| replaced.withdraw(release.tag, false));
+            if !old.deferred_releases.is_empty() || self.call_control.has_transit_attempts_on(predecessor) {
                 replaced.check_arrival(now, self.call_control.connection_probe_tag());
             }
             switch.replaced = Some(replaced);
@@ -137,6 +139,7 @@
                 self.call_control.handle_switch_responsive(id, response_time);
             }
             self.send_messages_of_predecessor(id, predecessor, &unsent);
+            self.send_deferred_releases(id, old.deferred_releases);
         }
     }
 
@@ -160,17 +163,30 @@
                 _ => {}
             }
         }
-        for tag in switch.releases.take_written_to(predecessor) {
-            self.switches.release(now, id, tag);
+        for tag in switch.releases.replace(predecessor, now) {
+            self.switches.repeat_release(now, id, tag);
         }
     }
 
     /// Releases an attempt. If it was sent on the replaced connection, its set-up may arrive after the release;
     /// see [`Gatekeeper::end_withdrawn_attempt`].
-    pub(in crate::net) fn withdraw_attempt(&mut self, tag: Tag, attempt: WithdrawnAttempt, transit: bool) {
+    ///
+    /// If the open connection may have failed, and the call may be sent again, the release waits: were the
+    /// connection replaced, the release on it could arrive late and end the next attempt.
+    pub(in crate::net) fn withdraw_attempt(
+        &mut self, tag: Tag, attempt: WithdrawnAttempt, next: AfterWithdrawal,
+    ) {
         let now = self.clock.now();
         let id = attempt.switch;
-        self.switches.release(now, id, tag);
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        match (&mut switch.state, attempt.connection) {
+            (ConnectionState::Open(open), Some(connection))
+                if next == AfterWithdrawal::MayBeSentAgain && open.response_is_overdue(now) =>
+            {
+                open.deferred_releases.push(DeferredRelease { tag, connection });
+            }
+            _ => self.switches.release(now, id, tag),
+        }
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let Some(replaced) = &mut switch.replaced else { return };
         if attempt.connection != Some(replaced.connection.id) || replaced.set_ups_have_arrived {
@@ -179,7 +195,7 @@
         if !replaced.is_checked() {
             replaced.check_arrival(now, self.call_control.connection_probe_tag());
         }
-        replaced.withdraw(tag, transit);
+        replaced.withdraw(tag, next == AfterWithdrawal::TransitEnded);
         if replaced.must_be_closed(now) {
             self.abandon_replaced_connection(id);
         }
@@ -196,6 +212,7 @@
         let now = self.clock.now();
         let id = attempt.switch;
         let Some(connection) = attempt.connection else { return };
+        self.send_deferred_release(tag, attempt);
         let Some(switch) = self.switches.by_id.get(&id) else { return };
         // The release is behind the set-up on the same connection.
         if matches!(&switch.state, ConnectionState::Open(open) if open.connection.id == connection) {
@@ -209,7 +226,24 @@
             }
             self.abandon_replaced_connection(id);
         }
-        self.switches.release(now, id, tag);
+        self.switches.repeat_release(now, id, tag);
+    }
+
+    /// Sends the release of a withdrawn attempt if it is deferred.
+    pub(in crate::net) fn send_deferred_release(&mut self, tag: Tag, attempt: WithdrawnAttempt) {
+        let id = attempt.switch;
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        let ConnectionState::Open(open) = &mut switch.state else { return };
+        let deferred: Vec<DeferredRelease> =
+            open.deferred_releases.extract_if(.., |release| release.tag == tag).collect();
+        self.send_deferred_releases(id, deferred);
+    }
+
+    pub(super) fn send_deferred_releases(&mut self, id: SwitchId, deferred: Vec<DeferredRelease>) {
+        let now = self.clock.now();
+        for release in deferred {
+            self.switches.repeat_release(now, id, release.tag);
+        }
     }
 
     /// All set-ups on the replaced connection have arrived, some perhaps after the releases of their attempts:
@@ -219,8 +253,9 @@
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let Some(replaced) = &mut switch.replaced else { return };
         replaced.set_ups_have_arrived = true;
+        switch.releases.acknowledge_all(replaced.connection.id);
         for tag in replaced.take_withdrawn() {
-            self.switches.release(now, id, tag);
+            self.switches.repeat_release(now, id, tag);
         }
     }
 
@@ -234,6 +269,9 @@
     /// The switch has ended the replaced connection, or all connections to it are closed.
     pub(super) fn lose_replaced_connection(&mut self, id: SwitchId) {
         if let Some(connection) = self.close_replaced_connection(id) {
+            if let Some(switch) = self.switches.by_id.get_mut(&id) {
+                switch.releases.acknowledge_all(connection);
+            }
             self.call_control.handle_connection_lost(id, connection);
         }
     }
--- a/src/net/switches/tests.rs
+++ b/src/net/switches/tests.rs
@@ -45,3 +45,30 @@
     assert_eq!(pending(1)[..5], [0, 1, 2, 3, 4]);
     assert_eq!(pending(1)[5..], (1000..1010).collect::<Vec<u64>>());
 }
+
+/// Guards against the release of an earlier attempt that ends a later one of the same call: it can arrive late on a
+/// connection that was replaced.
+#[test]
+fn a_release_on_a_replaced_connection_may_arrive_until_it_is_acknowledged_there() {
+    let connection = SwitchConnectionId;
+    let mut releases = UnacknowledgedReleases::default();
+    for tag in 1..=4 {
+        releases.record_written(tag, connection(1), tag as Micros);
+    }
+    releases.forget(4);
+    assert_eq!(releases.replace(connection(1), SECOND), [1, 2, 3]);
+    let late = |releases: &UnacknowledgedReleases| [1, 2, 3, 4].map(|tag| releases.may_arrive_late(tag));
+    assert_eq!(late(&releases), [true, true, true, false]);
+    // The release on the successor is acknowledged first.
+    releases.acknowledge(1, connection(2));
+    assert_eq!(late(&releases), [true, true, true, false]);
+    releases.acknowledge(1, connection(1));
+    assert_eq!(late(&releases), [false, true, true, false]);
+    releases.remove_expired(4 * SECOND - 1);
+    assert_eq!(late(&releases), [false, true, true, false]);
+    releases.acknowledge_all(connection(2));
+    assert_eq!(late(&releases), [false, true, true, false]);
+    let mut expired = releases;
+    expired.remove_expired(4 * SECOND);
+    assert_eq!(late(&expired), [false; 4]);
+}
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -16,7 +16,7 @@
 //!     memory < MB       the program has never held more memory than this
 //!     signal TERM       sends a signal    exits 0           waits for the program to exit with this code
 //!     log TEXT          waits for a line with this text in the program's log
-//!     with A => B       on the first line of a file: replaces A by B in the configuration
+//!     with A => B       on the first lines of a file: replaces A by B in the configuration
 //!     config @moved     rewrites the configuration file with this address for the feed; any other text
 //!                       replaces the whole file
 //!
@@ -352,8 +352,8 @@
 /// its exit.
 fn run_exchange(name: &str) {
     let exchange = read_exchange_file(name);
-    let replacement = exchange.strip_prefix("with ").and_then(|rest| rest.lines().next()?.split_once(" => "));
-    let mut runner = Runner::start(replacement);
+    let replacements = exchange.lines().map_while(|line| line.strip_prefix("with ")?.split_once(" => "));
+    let mut runner = Runner::start(replacements);
     runner.execute_file("start.txt");
     runner.execute_file(name);
     let exited = exchange.lines().any(|line| line.starts_with("exits"));
@@ -396,6 +396,7 @@
     group_full_takes_the_tandem
     idle_close
     late_answer_of_an_earlier_attempt
+    late_release_of_an_earlier_attempt
     long_and_split_messages
     malformed_input
     no_caller_connected
@@ -406,6 +407,7 @@
     release_lost_with_its_connection
     refusals
     reload
+    release_waits_while_the_connection_is_quiet
     reset_waits_for_the_release
     silent_switch
     stuck_connection
