Send releases at once again, and wait for those on a replaced connection

Cause: a release that was deferred while its connection was quiet went out just before the next set-up of its call, and the release wait counts from the release. The idea was wrong, not only its code.

Change: no release is deferred, and the command that told the end of a waiting call is gone with that. What stays: a call whose release is on a replaced connection waits until it has arrived. Only releases of calls that may be sent again count, and the replaced connection is kept for them. The exchange that asked for the deferral contradicted the rule; release_is_not_delayed_on_a_quiet_ connection takes its place, on the same course of events, and asks for the release at the time-out.

--- a/src/call.rs
+++ b/src/call.rs
@@ -728,12 +728,8 @@
     /// Removes a call from the call table. All calls are removed here, so that their tags and their share of
     /// the bytes of session descriptions are always freed.
     fn remove_call(&mut self, now: Micros, id: CallId) -> Option<Call> {
-        let mut call = self.calls.remove(&id)?;
+        let call = self.calls.remove(&id)?;
         self.call_ids.remove(&call.tag);
-        if !call.withdrawn.is_empty() {
-            let withdrawn = std::mem::take(&mut call.withdrawn);
-            self.commands.push(Command::WaitingCallEnded { tag: call.tag, withdrawn });
-        }
         let description_bytes = call.session_description.as_ref().map_or(0, String::len);
         self.unanswered.remove(call.connection, id, description_bytes);
         if call.next_attempt > 0 {
--- a/src/call/messages.rs
+++ b/src/call/messages.rs
@@ -160,13 +160,6 @@
         /// What becomes of the call.
         next: AfterWithdrawal,
     },
-    /// A call has ended that waited to be sent again.
-    WaitingCallEnded {
-        /// The call.
-        tag: Tag,
-        /// The attempts that were withdrawn since its last set-up.
-        withdrawn: Vec<WithdrawnAttempt>,
-    },
     /// Release a call at all switches. It was set up before this program started, at an unknown switch.
     ReleaseAtAllSwitches(Tag),
     /// Send a probe to a switch.
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -138,8 +138,7 @@
     let attempt = WithdrawnAttempt { switch: SWITCH, connection: Some(CONNECTION) };
     let next = AfterWithdrawal::MayBeSentAgain;
     let withdrawal = Command::WithdrawAttempt { tag: 1, attempt, next };
-    let end = Command::WaitingCallEnded { tag: 1, withdrawn: vec![attempt] };
-    assert_eq!(commands, [withdrawal, end, reject]);
+    assert_eq!(commands, [withdrawal, reject]);
     fixture.call_control.handle_answer(fixture.now, SWITCH, CONNECTION, 1, None);
     assert_eq!(fixture.run_iteration(), [Command::ReleaseAtSwitch { switch: SWITCH, tag: 1 }]);
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -432,11 +432,6 @@
                     Command::WithdrawAttempt { tag, attempt, next } => {
                         self.withdraw_attempt(tag, attempt, next);
                     }
-                    Command::WaitingCallEnded { tag, withdrawn } => {
-                        for attempt in withdrawn {
-                            self.send_deferred_release(tag, attempt);
-                        }
-                    }
                     Command::ReleaseAtAllSwitches(tag) => self.switches.release_at_all(now, tag),
                     Command::Probe { switch, tag } => self.switches.probe(switch, tag),
                     Command::Answer { connection, tag, session_description } => {
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -83,14 +83,6 @@
     awaiting_response_since: Option<Micros>,
     /// A message other than a load report has been received on this connection.
     has_responded: bool,
-    deferred_releases: Vec<DeferredRelease>,
-}
-
-/// The release of an attempt whose call waits to be sent again. It is sent once it is clear on which connection.
-struct DeferredRelease {
-    tag: Tag,
-    /// The connection that the set-up of the attempt was written to.
-    connection: SwitchConnectionId,
 }
 
 impl OpenConnection {
@@ -101,7 +93,6 @@
             last_used_at: now,
             awaiting_response_since: None,
             has_responded: false,
-            deferred_releases: vec![],
         }
     }
 
@@ -494,10 +485,6 @@
     /// established is closed nowhere else.
     fn close_switch_connections_until(&mut self, id: SwitchId, reconnect_at: Micros) {
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        let mut deferred_releases = vec![];
-        if let ConnectionState::Open(open) = &mut switch.state {
-            deferred_releases = std::mem::take(&mut open.deferred_releases);
-        }
         match std::mem::replace(&mut switch.state, ConnectionState::Closed { reconnect_at }) {
             ConnectionState::Open(OpenConnection { connection, .. })
             | ConnectionState::Connecting { connection, .. } => {
@@ -511,7 +498,6 @@
             }
             ConnectionState::Closed { .. } => {}
         }
-        self.send_deferred_releases(id, deferred_releases);
         self.close_candidate_connection(id);
         self.lose_replaced_connection(id);
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
@@ -557,15 +543,12 @@
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let ConnectionState::Open(open) = &mut switch.state else { return };
         let input = read_messages(&mut open.connection.socket);
-        let mut deferred_releases = vec![];
         if !input.messages.is_empty() {
             open.awaiting_response_since = None;
-            deferred_releases = std::mem::take(&mut open.deferred_releases);
         }
         open.has_responded |= input.messages.iter().any(|message| message.verb != "LOAD");
         let connection = open.connection.id;
         let name = switch.listed.name.clone();
-        self.send_deferred_releases(id, deferred_releases);
         let mut messages = input.messages.into_iter();
         let result =
             messages.try_for_each(|message| self.handle_switch_message(now, id, connection, message));
--- a/src/net/switches/releases.rs
+++ b/src/net/switches/releases.rs
@@ -17,9 +17,12 @@
 const LATE_ARRIVAL_TIMEOUT: Micros = 3 * SECOND;
 
 /// A release that was written to a connection.
+#[derive(Clone, Copy)]
 struct WrittenRelease {
     connection: SwitchConnectionId,
     written_at: Micros,
+    /// The call may be sent again.
+    call_waits: bool,
 }
 
 /// The releases that a switch has not acknowledged.
@@ -28,7 +31,7 @@
     /// Calls that are released once a connection is established.
     pending: Vec<Tag>,
     written: HashMap<Tag, WrittenRelease>,
-    /// The releases that may still arrive on replaced connections.
+    /// The releases of waiting calls that may still arrive on replaced connections.
     late: HashMap<Tag, WrittenRelease>,
 }
 
@@ -46,8 +49,10 @@
         std::mem::take(&mut self.pending)
     }
 
-    pub(super) fn record_written(&mut self, tag: Tag, connection: SwitchConnectionId, now: Micros) {
-        self.written.insert(tag, WrittenRelease { connection, written_at: now });
+    pub(super) fn record_written(
+        &mut self, tag: Tag, connection: SwitchConnectionId, now: Micros, call_waits: bool,
+    ) {
+        self.written.insert(tag, WrittenRelease { connection, written_at: now, call_waits });
     }
 
     /// The release of a call is on its way on another connection than before.
@@ -74,10 +79,16 @@
     /// A connection has been replaced. Returns the calls whose releases are to be repeated on its successor, the
     /// oldest first.
     pub(super) fn replace(&mut self, connection: SwitchConnectionId, now: Micros) -> Vec<Tag> {
-        let written = self.take_written_to(connection);
-        let late = written.iter().map(|tag| (*tag, WrittenRelease { connection, written_at: now }));
-        self.late.extend(late);
-        written
+        let of_waiting_calls =
+            self.written.iter().filter(|(_, release)| release.call_waits && release.connection == connection);
+        let replaced_now = WrittenRelease { connection, written_at: now, call_waits: true };
+        self.late.extend(of_waiting_calls.map(|(tag, _)| (*tag, replaced_now)));
+        self.take_written_to(connection)
+    }
+
+    /// Whether a release may still arrive on this replaced connection.
+    pub(super) fn may_arrive_late_on(&self, connection: SwitchConnectionId) -> bool {
+        self.late.values().any(|release| release.connection == connection)
     }
 
     /// Whether a release of the call may still arrive on a replaced connection.
@@ -112,7 +123,12 @@
 impl Switches {
     /// Releases an attempt or an answered call at a switch.
     pub fn release(&mut self, now: Micros, id: SwitchId, tag: Tag) {
-        self.release_within(now, id, tag, self.limits.unacknowledged_releases);
+        self.release_within(now, id, tag, self.limits.unacknowledged_releases, false);
+    }
+
+    /// Releases an attempt whose call may be sent again.
+    pub(super) fn release_waiting_call(&mut self, now: Micros, id: SwitchId, tag: Tag) {
+        self.release_within(now, id, tag, self.limits.unacknowledged_releases, true);
     }
 
     /// Releases a call at every switch. It may be up at none of them, so such releases leave half of the limit to
@@ -120,33 +136,33 @@
     pub fn release_at_all(&mut self, now: Micros, tag: Tag) {
         let ids: Vec<SwitchId> = self.by_id.keys().copied().collect();
         let max_count = self.limits.unacknowledged_releases / 2;
-        ids.into_iter().for_each(|id| self.release_within(now, id, tag, max_count));
+        ids.into_iter().for_each(|id| self.release_within(now, id, tag, max_count, false));
     }
 
     /// Releases an attempt or a call at a switch. The release is kept for the next connection if fewer than
     /// `max_count` are kept for all switches.
-    fn release_within(&mut self, now: Micros, id: SwitchId, tag: Tag, max_count: usize) {
+    fn release_within(&mut self, now: Micros, id: SwitchId, tag: Tag, max_count: usize, call_waits: bool) {
         let Some(switch) = self.by_id.get_mut(&id) else { return };
         let queued_before = switch.queued_set_ups.len();
         switch.queued_set_ups.retain(|set_up| set_up.tag != tag);
         // A set-up that was still queued is unknown to the switch and needs no release.
         if switch.queued_set_ups.len() == queued_before {
-            self.write_release(now, id, tag, max_count);
+            self.write_release(now, id, tag, max_count, call_waits);
         }
     }
 
     /// Sends the release of an earlier attempt once more. A set-up of the call that is queued stays.
     pub(super) fn repeat_release(&mut self, now: Micros, id: SwitchId, tag: Tag) {
-        self.write_release(now, id, tag, self.limits.unacknowledged_releases);
+        self.write_release(now, id, tag, self.limits.unacknowledged_releases, true);
     }
 
-    fn write_release(&mut self, now: Micros, id: SwitchId, tag: Tag, max_count: usize) {
+    fn write_release(&mut self, now: Micros, id: SwitchId, tag: Tag, max_count: usize, call_waits: bool) {
         let may_keep = self.unacknowledged_release_count() < max_count;
         let Some(switch) = self.by_id.get_mut(&id) else { return };
         if let ConnectionState::Open(open) = &mut switch.state {
             release_message(tag).encode(open.connection.socket.output_buffer());
             if may_keep {
-                switch.releases.record_written(tag, open.connection.id, now);
+                switch.releases.record_written(tag, open.connection.id, now, call_waits);
             }
         } else if may_keep {
             switch.releases.pending.push(tag);
--- a/src/net/switches/replacement.rs
+++ b/src/net/switches/replacement.rs
@@ -2,8 +2,8 @@
 //! how long the one that was replaced is kept.
 
 use super::{
-    CHECK_INTERVAL, ConnectionState, DeferredRelease, Input, OpenConnection, SILENCE_TIMEOUT,
-    SwitchConnection, UNREACHABLE_TIMEOUT, read_messages, replaced::ReplacedConnection,
+    CHECK_INTERVAL, ConnectionState, Input, OpenConnection, SILENCE_TIMEOUT, SwitchConnection,
+    UNREACHABLE_TIMEOUT, read_messages, replaced::ReplacedConnection,
 };
 use crate::call::{AfterWithdrawal, SwitchConnectionId, Tag, WithdrawnAttempt};
 use crate::interface::{MILLISECOND, Micros, SwitchId};
@@ -48,7 +48,9 @@
             switch.silent_since = now;
         }
         let replaced_is_obsolete = switch.replaced.as_ref().is_some_and(|replaced| {
-            replaced.must_be_closed(now) || !self.call_control.has_attempts_on(replaced.connection.id)
+            let is_needed = self.call_control.has_attempts_on(replaced.connection.id)
+                || switch.releases.may_arrive_late_on(replaced.connection.id);
+            replaced.must_be_closed(now) || !is_needed
         });
         if replaced_is_obsolete {
             self.abandon_replaced_connection(id);
@@ -126,9 +128,7 @@
             let unsent = old.connection.socket.take_unsent_messages(lines::TERMINATOR);
             let predecessor = old.connection.id;
             let mut replaced = ReplacedConnection::new(old.connection, now);
-            let deferred = old.deferred_releases.iter().filter(|release| release.connection == predecessor);
-            deferred.for_each(|release| replaced.withdraw(release.tag, false));
-            if !old.deferred_releases.is_empty() || self.call_control.has_transit_attempts_on(predecessor) {
+            if self.call_control.has_transit_attempts_on(predecessor) {
                 replaced.check_arrival(now, self.call_control.connection_probe_tag());
             }
             switch.replaced = Some(replaced);
@@ -139,7 +139,6 @@
                 self.call_control.handle_switch_responsive(id, response_time);
             }
             self.send_messages_of_predecessor(id, predecessor, &unsent);
-            self.send_deferred_releases(id, old.deferred_releases);
         }
     }
 
@@ -170,22 +169,15 @@
 
     /// Releases an attempt. If it was sent on the replaced connection, its set-up may arrive after the release;
     /// see [`Gatekeeper::end_withdrawn_attempt`].
-    ///
-    /// If the open connection may have failed, and the call may be sent again, the release waits: were the
-    /// connection replaced, the release on it could arrive late and end the next attempt.
     pub(in crate::net) fn withdraw_attempt(
         &mut self, tag: Tag, attempt: WithdrawnAttempt, next: AfterWithdrawal,
     ) {
         let now = self.clock.now();
         let id = attempt.switch;
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        match (&mut switch.state, attempt.connection) {
-            (ConnectionState::Open(open), Some(connection))
-                if next == AfterWithdrawal::MayBeSentAgain && open.response_is_overdue(now) =>
-            {
-                open.deferred_releases.push(DeferredRelease { tag, connection });
-            }
-            _ => self.switches.release(now, id, tag),
+        if next == AfterWithdrawal::MayBeSentAgain {
+            self.switches.release_waiting_call(now, id, tag);
+        } else {
+            self.switches.release(now, id, tag);
         }
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let Some(replaced) = &mut switch.replaced else { return };
@@ -212,7 +204,6 @@
         let now = self.clock.now();
         let id = attempt.switch;
         let Some(connection) = attempt.connection else { return };
-        self.send_deferred_release(tag, attempt);
         let Some(switch) = self.switches.by_id.get(&id) else { return };
         // The release is behind the set-up on the same connection.
         if matches!(&switch.state, ConnectionState::Open(open) if open.connection.id == connection) {
@@ -229,23 +220,6 @@
         self.switches.repeat_release(now, id, tag);
     }
 
-    /// Sends the release of a withdrawn attempt if it is deferred.
-    pub(in crate::net) fn send_deferred_release(&mut self, tag: Tag, attempt: WithdrawnAttempt) {
-        let id = attempt.switch;
-        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
-        let ConnectionState::Open(open) = &mut switch.state else { return };
-        let deferred: Vec<DeferredRelease> =
-            open.deferred_releases.extract_if(.., |release| release.tag == tag).collect();
-        self.send_deferred_releases(id, deferred);
-    }
-
-    pub(super) fn send_deferred_releases(&mut self, id: SwitchId, deferred: Vec<DeferredRelease>) {
-        let now = self.clock.now();
-        for release in deferred {
-            self.switches.repeat_release(now, id, release.tag);
-        }
-    }
-
     /// All set-ups on the replaced connection have arrived, some perhaps after the releases of their attempts:
     /// these are repeated.
     fn confirm_arrival_of_set_ups(&mut self, id: SwitchId) {
--- a/src/net/switches/tests.rs
+++ b/src/net/switches/tests.rs
@@ -52,13 +52,15 @@
 fn a_release_on_a_replaced_connection_may_arrive_until_it_is_acknowledged_there() {
     let connection = SwitchConnectionId;
     let mut releases = UnacknowledgedReleases::default();
-    for tag in 1..=4 {
-        releases.record_written(tag, connection(1), tag as Micros);
+    for tag in 1..=5 {
+        // The fifth call has ended and is not sent again.
+        releases.record_written(tag, connection(1), tag as Micros, tag != 5);
     }
     releases.forget(4);
-    assert_eq!(releases.replace(connection(1), SECOND), [1, 2, 3]);
+    assert_eq!(releases.replace(connection(1), SECOND), [1, 2, 3, 5]);
     let late = |releases: &UnacknowledgedReleases| [1, 2, 3, 4].map(|tag| releases.may_arrive_late(tag));
     assert_eq!(late(&releases), [true, true, true, false]);
+    assert!(!releases.may_arrive_late(5));
     // The release on the successor is acknowledged first.
     releases.acknowledge(1, connection(2));
     assert_eq!(late(&releases), [true, true, true, false]);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -407,7 +407,7 @@
     release_lost_with_its_connection
     refusals
     reload
-    release_waits_while_the_connection_is_quiet
+    release_is_not_delayed_on_a_quiet_connection
     reset_waits_for_the_release
     silent_switch
     stuck_connection
