Give an address to the switch that started last, in whatever order the list names them

Cause: Gatekeeper::update_switch handled the list entry by entry; whichever of two switches with one address came last displaced the other. The entries have no order. On the same path: the older switch took the address back each time the list named it again (change, whole list, reload), a switch of the own exchange took no address, and the controller was not told of a displaced one.

Change: SwitchDirectory, without I/O, decides once an update is complete: the last start has the address (an unknown start counts as the distant past), then the later update; if neither tells and the exchanges differ, nobody has it. A switch whose address was taken needs another start or address, and is gone to the controller. The handling of the list has a module of its own.

--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -7,7 +7,7 @@
 use super::{Gatekeeper, log};
 use crate::call::TimerEvent;
 use crate::clock::Clock;
-use crate::interface::{ExchangeNumber, Health, MILLISECOND, Micros, SECOND, SwitchEntry, SwitchListUpdate};
+use crate::interface::{ExchangeNumber, Health, MILLISECOND, Micros, SECOND};
 use crate::timers::TimerId;
 use calloop::LoopHandle;
 use serde::Deserialize;
@@ -72,17 +72,20 @@
 }
 
 impl ListEntry {
-    fn to_listed_switch(&self, clock: &Clock) -> ListedSwitch {
+    fn to_listed_switch(&self, clock: &Clock, zone_index: u32) -> ListedSwitch {
+        let started_unix_ms = self.up_since_unix_ms as i64;
         ListedSwitch {
             name: self.name.clone(),
             address: self.address.parse().ok(),
+            zone_index,
             exchange_number: self.exchange_number,
             health: match self.health {
                 EntryHealth::Serving => Health::InService,
                 EntryHealth::Draining => Health::Draining,
                 EntryHealth::Deleted => Health::Gone,
             },
-            up_since: clock.from_unix_ms(self.up_since_unix_ms as i64),
+            up_since: clock.from_unix_ms(started_unix_ms),
+            started_unix_ms: started_unix_ms.max(0),
         }
     }
 }
@@ -322,8 +325,7 @@
 
     fn apply_feed_event(&mut self, event: FeedEvent) {
         let Some(update) = event.list_update else { return };
-        let mut switch_entries = Vec::with_capacity(update.entries.len());
-        let mut listed_names = Vec::new();
+        let mut listed = Vec::with_capacity(update.entries.len());
         for value in update.entries {
             let entry = match ListEntry::deserialize(&value) {
                 Ok(entry) => entry,
@@ -336,24 +338,10 @@
                     continue;
                 }
             };
-            let listed = entry.to_listed_switch(&self.clock);
             let zone_index = self.call_control.zone_index(&entry.zone_name);
-            let exchange_number = listed.exchange_number;
-            let health = listed.health;
-            let up_since = listed.up_since;
-            if let Some(switch) = self.switches.get_or_assign_id(&listed.name, health) {
-                switch_entries.push(SwitchEntry { switch, zone_index, exchange_number, health, up_since });
-            }
-            listed_names.push(listed.name.clone());
-            self.update_switch(listed);
-        }
-        if update.is_full {
-            self.remove_unlisted_switches(&listed_names);
+            listed.push(entry.to_listed_switch(&self.clock, zone_index));
         }
-        self.call_control.handle_switch_list(if update.is_full {
-            SwitchListUpdate::Full(switch_entries)
-        } else {
-            SwitchListUpdate::Changes(switch_entries)
-        });
+        let for_controller = self.update_switch_list(listed, update.is_full);
+        self.call_control.handle_switch_list(for_controller);
     }
 }
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -21,14 +21,19 @@
 use crate::interface::{ExchangeNumber, Health, MILLISECOND, Micros, SECOND, SwitchId};
 use crate::timers::TimerId;
 use calloop::LoopHandle;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 
+mod directory;
+mod list;
 mod releases;
 mod replaced;
 mod replacement;
 
+pub use directory::ListedSwitch;
+
+use directory::{DirectoryChanges, SwitchDirectory};
 use releases::UnacknowledgedReleases;
 use replaced::ReplacedConnection;
 use replacement::{CandidateConnection, RESPONSE_TIMEOUT};
@@ -101,22 +106,6 @@
     }
 }
 
-/// A carrier switch as the control feed describes it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ListedSwitch {
-    /// Its name in the control feed.
-    pub name: String,
-    /// The address on which it listens. `None` if the control feed gives no valid one, or if another switch
-    /// has taken it over.
-    pub address: Option<SocketAddr>,
-    /// The number of the exchange that it serves.
-    pub exchange_number: ExchangeNumber,
-    /// Its state in the switch list.
-    pub health: Health,
-    /// When it last started, if known.
-    pub up_since: Option<Micros>,
-}
-
 /// A set-up that is sent later.
 struct QueuedSetUp {
     tag: Tag,
@@ -195,10 +184,7 @@
     limits: SwitchLimits,
     /// The listed switches of other exchanges, without those that are [`Health::Gone`].
     by_id: BTreeMap<SwitchId, Switch>,
-    /// The controller's ids of the switches, by their names in the control feed. Only this type translates
-    /// between the two.
-    ids_by_name: HashMap<String, SwitchId>,
-    last_id: u64,
+    directory: SwitchDirectory,
     last_connection_id: u64,
 }
 
@@ -215,24 +201,11 @@
             own_exchange,
             limits,
             by_id: BTreeMap::new(),
-            ids_by_name: HashMap::new(),
-            last_id: 0,
+            directory: SwitchDirectory::default(),
             last_connection_id: 0,
         }
     }
 
-    /// Returns the controller's id of a listed switch, and assigns one to a switch without an id. Returns
-    /// `None` for a switch without an id that is [`Health::Gone`].
-    pub fn get_or_assign_id(&mut self, name: &str, health: Health) -> Option<SwitchId> {
-        let known = self.ids_by_name.get(name).copied();
-        if known.is_some() || health == Health::Gone {
-            return known;
-        }
-        self.last_id += 1;
-        self.ids_by_name.insert(name.to_string(), SwitchId(self.last_id));
-        Some(SwitchId(self.last_id))
-    }
-
     /// Returns true if every switch in service that has an address has sent a message, could not be reached
     /// or was silent for `SILENCE_TIMEOUT` after a connection to it was established.
     pub fn all_initial_states_known(&self) -> bool {
@@ -315,90 +288,6 @@
 }
 
 impl Gatekeeper {
-    /// Takes an entry of the switch list from the control feed.
-    pub(super) fn update_switch(&mut self, listed: ListedSwitch) {
-        let now = self.clock.now();
-        let Some(id) = self.switches.get_or_assign_id(&listed.name, listed.health) else { return };
-        if listed.health == Health::Gone {
-            return self.remove_switch(now, id, &listed.name);
-        }
-        if listed.exchange_number == self.switches.own_exchange {
-            return;
-        }
-        let before = self.switches.by_id.get(&id).map(|switch| switch.listed.clone());
-        // A switch may have taken over the address of another one while the list still names both. Messages
-        // for the other switch must not reach the one that now has the address.
-        if before.as_ref().is_none_or(|before| before.address != listed.address) {
-            let has_same_address = |(_, other): &(&SwitchId, &Switch)| {
-                other.has_address() && other.listed.address == listed.address
-            };
-            let others = self.switches.by_id.iter().filter(|(other, _)| **other != id);
-            let displaced: Vec<SwitchId> = others.filter(has_same_address).map(|(other, _)| *other).collect();
-            for other_id in displaced {
-                let other = self.switches.by_id.get(&other_id);
-                log(&format!(
-                    "switch {} has the address of switch {}, which is taken to be gone",
-                    listed.name,
-                    other.map_or("", |other| &other.listed.name)
-                ));
-                self.close_switch_connections(other_id);
-                self.call_control.handle_switch_down(now, other_id, now);
-                if let Some(other) = self.switches.by_id.get_mut(&other_id) {
-                    other.listed.address = None;
-                }
-            }
-        }
-        let switch = self.switches.by_id.entry(id).or_insert_with(|| {
-            log(&format!(
-                "switch {} has id {} and serves exchange {}",
-                listed.name, id.0, listed.exchange_number
-            ));
-            Switch::new(listed.clone(), now)
-        });
-        switch.listed = listed.clone();
-        let Some(before) = before else { return self.connect_switch(id) };
-        if before.health != listed.health {
-            log(&format!("switch {} is {:?}", listed.name, listed.health));
-        }
-        let restarted_at = listed.up_since.filter(|up_since| before.up_since != Some(*up_since));
-        if let Some(restarted_at) = restarted_at {
-            // A restarted process has lost the calls from before its start, whatever state its machine left
-            // the connection in.
-            self.call_control.handle_switch_down(now, id, restarted_at);
-        }
-        let switch = self.switches.by_id.get(&id);
-        let opened_before_restart = switch.is_some_and(|switch| match &switch.state {
-            ConnectionState::Open(open) => restarted_at.is_some_and(|at| open.opened_at < at),
-            _ => false,
-        });
-        if opened_before_restart || before.address != listed.address {
-            self.close_switch_connections(id);
-            self.connect_switch(id);
-        }
-    }
-
-    /// Removes a switch that is gone for good: ends its calls, drops its pending releases, and deletes its
-    /// entry and its id, since the number of switches that come and go has no limit.
-    fn remove_switch(&mut self, now: Micros, id: SwitchId, name: &str) {
-        if self.switches.by_id.contains_key(&id) {
-            log(&format!("switch {name} is Gone"));
-        }
-        self.close_switch_connections(id);
-        self.call_control.handle_switch_down(now, id, now);
-        if let Some(timer) = self.switches.by_id.remove(&id).and_then(|switch| switch.timer) {
-            self.call_control.timers.cancel(timer);
-        }
-        self.switches.ids_by_name.remove(name);
-    }
-
-    /// Removes all switches that a full list does not name.
-    pub(super) fn remove_unlisted_switches(&mut self, listed_names: &[String]) {
-        let now = self.clock.now();
-        let unlisted = self.switches.ids_by_name.iter().filter(|(name, _)| !listed_names.contains(name));
-        let unlisted: Vec<(String, SwitchId)> = unlisted.map(|(name, id)| (name.clone(), *id)).collect();
-        unlisted.into_iter().for_each(|(name, id)| self.remove_switch(now, id, &name));
-    }
-
     /// Sends a set-up, or queues it until the connection is established. The set-up fails at once if the
     /// switch is not listed or has no address.
     pub(super) fn send_set_up(&mut self, id: SwitchId, tag: Tag, mut message: Message, deadline: Micros) {
--- a/src/net/switches/tests.rs
+++ b/src/net/switches/tests.rs
@@ -32,9 +32,11 @@
         let listed = ListedSwitch {
             name: id.to_string(),
             address: None,
+            zone_index: 0,
             exchange_number: 1,
             health: Health::InService,
             up_since: None,
+            started_unix_ms: 0,
         };
         switches.by_id.insert(SwitchId(id), Switch::new(listed, 0));
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -399,7 +399,10 @@
     late_release_of_an_earlier_attempt
     long_and_split_messages
     malformed_input
+    newer_switch_in_the_list_of_the_start
     no_caller_connected
+    older_switch_is_listed_again
+    own_exchange_takes_an_address_over
     quiet_connection_flows_again
     quiet_connection_is_closed
     quiet_connection_with_a_withdrawn_transit_call
