Refuse transit calls while a new process may be at the address of a switch

The process of a switch dies, or its machine vanishes, and a process of another exchange answers at its address before the list says so: calls in transit were set up there, at an exchange that they may not go to.

Cause: a connection to the address was taken for one to the switch, whatever had happened to the connection before; queued and unsent set-ups went along.

--- a/src/call.rs
+++ b/src/call.rs
@@ -5,8 +5,8 @@
 
 use crate::control::Controller;
 use crate::interface::{
-    Action, AttemptEnd, CallId, CallSource, EndReason, Event, ExchangeNumber, LoadReport, MILLISECOND,
-    Micros, NewCall, Outcome, SECOND, Settings, SwitchId, SwitchListUpdate,
+    Action, AttemptEnd, CallClass, CallId, CallSource, EndReason, Event, ExchangeNumber, LoadReport,
+    MILLISECOND, Micros, NewCall, Outcome, SECOND, Settings, SwitchId, SwitchListUpdate,
 };
 use crate::settings::IndexedNames;
 use crate::timers::{TimerId, TimerQueue};
@@ -70,7 +70,13 @@
     /// decides on the call, holds it or waits before the next attempt.
     Unanswered(Option<Attempt>),
     /// The switch has answered the attempt whose set-up was sent at `sent_at`.
-    Answered { switch: SwitchId, sent_at: Micros, attempt_number: u32 },
+    Answered {
+        switch: SwitchId,
+        sent_at: Micros,
+        attempt_number: u32,
+        /// The connection that the set-up was written to.
+        connection: Option<SwitchConnectionId>,
+    },
 }
 
 struct Call {
@@ -148,6 +154,8 @@
     /// Probes without an answer.
     probes: HashMap<Tag, Probe>,
     may_probe: bool,
+    /// For each class, whether its calls may go to some pools only.
+    has_eligible_pools: Vec<bool>,
     last_probe_tag: Tag,
     /// Events since the last batch, in order of arrival.
     pending_events: Vec<Event>,
@@ -169,6 +177,8 @@
     pub fn new(settings: Settings, names: IndexedNames, limits: CallLimits, seed: u64, now: Micros) -> Self {
         let min_batch_interval = settings.min_batch_interval;
         let may_probe = settings.may_probe;
+        let is_limited = |class: &CallClass| settings.pool_topology && !class.eligible_pools.is_empty();
+        let has_eligible_pools = settings.classes.iter().map(is_limited).collect();
         let mut actions = Vec::new();
         let controller = Controller::new(settings, seed, now, &mut actions);
         let ended_tags = EndedTags::new(limits.max_calls);
@@ -186,6 +196,7 @@
             unknown_releases,
             probes: HashMap::new(),
             may_probe,
+            has_eligible_pools,
             last_probe_tag: seed,
             pending_events: vec![],
             next_batch_at: now,
@@ -381,8 +392,8 @@
             if call.attempt_at(switch).is_some()
                 && let Some(attempt) = call.take_attempt(&mut self.timers)
             {
-                let Attempt { number: attempt_number, sent_at, .. } = attempt;
-                call.state = CallState::Answered { switch, sent_at, attempt_number };
+                let Attempt { number: attempt_number, sent_at, connection, .. } = attempt;
+                call.state = CallState::Answered { switch, sent_at, attempt_number, connection };
                 let set_up_delay = now - sent_at;
                 // The caller's session description is no longer needed, and an answered call may last long.
                 let description_bytes = call.session_description.take().map_or(0, |text| text.len());
@@ -496,6 +507,39 @@
         self.end_attempts(switch, Outcome::Failed, |call| call.tag == tag);
     }
 
+    /// Ends an attempt whose set-up is not sent because the process at the address of the switch may be one of
+    /// another exchange.
+    pub fn refuse_unconfirmed_switch(&mut self, switch: SwitchId, tag: Tag) {
+        let Some(id) = self.call_ids.get(&tag).copied() else { return };
+        let Some(call) = self.calls.get_mut(&id).filter(|call| call.attempt_at(switch).is_some()) else {
+            return;
+        };
+        let Some(attempt) = call.take_attempt(&mut self.timers) else { return };
+        self.pending_events.push(Event::AttemptEnded(AttemptEnd {
+            call: id,
+            attempt_number: attempt.number,
+            switch,
+            outcome: Outcome::NotSent,
+            reason: EndReason::ProcessUnconfirmed,
+            call_closed: false,
+            report: LoadReport::default(),
+        }));
+    }
+
+    /// Whether a call may go to no other exchange than the one that it is sent to.
+    pub fn is_bound_to_exchange(&self, tag: Tag) -> bool {
+        let call = self.call_ids.get(&tag).and_then(|id| self.calls.get(id));
+        call.is_some_and(|call| is_bound_to_exchange(call, &self.has_eligible_pools))
+    }
+
+    /// The connection to a switch on which a call was set up that the switch has answered.
+    pub fn answered_call_connection(&self, switch: SwitchId, tag: Tag) -> Option<SwitchConnectionId> {
+        match self.calls.get(self.call_ids.get(&tag)?)?.state {
+            CallState::Answered { switch: answering, connection, .. } if answering == switch => connection,
+            _ => None,
+        }
+    }
+
     /// The set-up of a call's attempt at a switch has been written to a connection.
     pub fn handle_set_up_written(&mut self, switch: SwitchId, tag: Tag, connection: SwitchConnectionId) {
         let call = self.call_ids.get(&tag).and_then(|id| self.calls.get_mut(id));
@@ -699,6 +743,7 @@
             return self.push_attempt_end(id, number, switch, Outcome::NotSent, true);
         }
         let deadline = now.saturating_add(timeout).min(call.caller_deadline);
+        let bound_to_exchange = is_bound_to_exchange(call, &self.has_eligible_pools);
         let timer = self.timers.push(deadline, TimerEvent::AttemptTimeout { call: id, attempt: number });
         call.state =
             CallState::Unanswered(Some(Attempt { number, switch, sent_at: now, connection: None, timer }));
@@ -710,6 +755,7 @@
             deadline,
             session_description: call.session_description.clone(),
             withdrawn: std::mem::take(&mut call.withdrawn),
+            bound_to_exchange,
         });
     }
 
@@ -784,3 +830,9 @@
         ids.into_iter().for_each(|id| self.reject_call(now, id, cause::TEMPORARY_FAILURE, 0));
     }
 }
+
+/// Whether a call may go to no other exchange than the one that it is sent to: it is in transit, or only some pools
+/// can take it.
+fn is_bound_to_exchange(call: &Call, has_eligible_pools: &[bool]) -> bool {
+    call.transit || has_eligible_pools.get(call.class_index).copied().unwrap_or(false)
+}
--- a/src/call/messages.rs
+++ b/src/call/messages.rs
@@ -143,6 +143,8 @@
         session_description: Option<String>,
         /// Earlier attempts of the call. They must be over before the set-up is sent.
         withdrawn: Vec<WithdrawnAttempt>,
+        /// The call may go to no other exchange.
+        bound_to_exchange: bool,
     },
     /// Release an answered call at a switch, or a call that may have been answered there.
     ReleaseAtSwitch {
--- a/src/control.rs
+++ b/src/control.rs
@@ -441,6 +441,11 @@
         self.entry.up_since.is_some_and(|up_since| now < up_since + settings.warm_up_time)
     }
 
+    /// Counts the circuits of a set-up as free again that was never sent.
+    fn return_circuits(&mut self, circuits: f64) {
+        self.free_circuits = self.free_circuits.map(|free| (free + circuits).min(self.group_size.max(free)));
+    }
+
     /// Whether a suspected processor may be sent a trial call; there is one at a time.
     fn is_trial_due(&self, now: Micros) -> bool {
         now >= self.next_trial_at && self.pending.is_empty()
@@ -1221,6 +1226,7 @@
         let called_number = call.request.called_number.clone();
         let destination = call.request.destination;
         let transit = call.request.transit;
+        let circuits = call.request.circuits;
         self.remove_pending(id, switch);
         if matches!(outcome, Outcome::Completed | Outcome::Failed | Outcome::Congested | Outcome::Cancelled) {
             self.on_response(switch, actions);
@@ -1252,7 +1258,11 @@
             }
             // This outcome is taken to mean that the group had no free circuit, until free circuits are
             // reported again.
-            (Outcome::NotSent, reason) if !matches!(reason, EndReason::ProcessorCongested(_)) => {
+            (Outcome::NotSent, EndReason::ProcessorCongested(_)) => {}
+            (Outcome::NotSent, EndReason::ProcessUnconfirmed) => {
+                self.switches.entry(switch).and_modify(|s| s.return_circuits(circuits));
+            }
+            (Outcome::NotSent, _) => {
                 self.switches.entry(switch).and_modify(|s| s.free_circuits = Some(0.0));
                 attempt_again = true;
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -244,6 +244,9 @@
     ProcessorCongested(Micros),
     /// No line of the called number is free.
     SubscriberBusy,
+    /// With [`Outcome::NotSent`]: the process at the address of the switch may be one of another exchange, to
+    /// which the call may not go.
+    ProcessUnconfirmed,
 }
 
 /// Where a call comes from. Limits on what is kept of calls are shared out between the sources.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -24,7 +24,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
-use switches::{SwitchLimits, Switches};
+use switches::{SetUp, SwitchLimits, Switches};
 
 #[cfg(test)]
 mod tests;
@@ -422,11 +422,12 @@
                         deadline,
                         session_description,
                         withdrawn,
+                        bound_to_exchange,
                     } => {
                         withdrawn.into_iter().for_each(|attempt| self.end_withdrawn_attempt(tag, attempt));
                         let message =
                             switches::set_up_message(tag, class, called_number, session_description);
-                        self.send_set_up(switch, tag, message, deadline);
+                        self.send_set_up(switch, SetUp { tag, message, deadline, bound_to_exchange });
                     }
                     Command::ReleaseAtSwitch { switch, tag } => self.switches.release(now, switch, tag),
                     Command::WithdrawAttempt { tag, attempt, next } => {
@@ -458,7 +459,7 @@
         }
         self.enforce_caller_buffer_limit();
         for switch in self.switches.flush() {
-            self.close_switch_connections(switch);
+            self.lose_open_connection(switch, false);
         }
         if !self.feed.flush() {
             self.close_feed_connection("connection failed", 0);
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -26,6 +26,7 @@
 use std::net::SocketAddr;
 
 mod directory;
+mod identity;
 mod list;
 mod releases;
 mod replaced;
@@ -34,6 +35,7 @@
 pub use directory::ListedSwitch;
 
 use directory::{DirectoryChanges, SwitchDirectory};
+use identity::{LostConnection, ProcessIdentity};
 use releases::UnacknowledgedReleases;
 use replaced::ReplacedConnection;
 use replacement::{CandidateConnection, RESPONSE_TIMEOUT};
@@ -101,24 +103,30 @@
         }
     }
 
+    fn as_lost(&self) -> LostConnection {
+        LostConnection { id: self.connection.id, opened_at: self.opened_at }
+    }
+
     fn response_is_overdue(&self, now: Micros) -> bool {
         self.awaiting_response_since.is_some_and(|since| now >= since + RESPONSE_TIMEOUT)
     }
 }
 
-/// A set-up that is sent later.
-struct QueuedSetUp {
-    tag: Tag,
-    message: Message,
+/// A set-up to be sent.
+pub(super) struct SetUp {
+    pub(super) tag: Tag,
+    pub(super) message: Message,
     /// When the call's attempt at the switch times out.
-    deadline: Micros,
+    pub(super) deadline: Micros,
+    /// The call may go to no other exchange.
+    pub(super) bound_to_exchange: bool,
 }
 
 struct Switch {
     listed: ListedSwitch,
     state: ConnectionState,
     /// Set-ups that wait for a connection, or for the release of an earlier attempt to arrive.
-    queued_set_ups: Vec<QueuedSetUp>,
+    queued_set_ups: Vec<SetUp>,
     releases: UnacknowledgedReleases,
     /// Delay after the next failed attempt to connect.
     reconnect_delay: Micros,
@@ -129,6 +137,7 @@
     /// whichever the state of the connection asks for.
     timer: Option<TimerId>,
     unreachable_since: Option<Micros>,
+    identity: ProcessIdentity,
     /// Messages received on this connection are handled like those on the open one.
     candidate: Option<CandidateConnection>,
     /// The predecessor of the open connection.
@@ -151,6 +160,7 @@
             silent_since: now,
             timer: None,
             unreachable_since: None,
+            identity: ProcessIdentity::default(),
             candidate: None,
             replaced: None,
             initial_state_known: false,
@@ -289,12 +299,17 @@
 
 impl Gatekeeper {
     /// Sends a set-up, or queues it until the connection is established. The set-up fails at once if the
-    /// switch is not listed or has no address.
-    pub(super) fn send_set_up(&mut self, id: SwitchId, tag: Tag, mut message: Message, deadline: Micros) {
+    /// switch is not listed or has no address, or if its call may go to no other exchange and the process at the
+    /// address may be one of another.
+    pub(super) fn send_set_up(&mut self, id: SwitchId, mut set_up: SetUp) {
         let now = self.clock.now();
+        let tag = set_up.tag;
         let Some(switch) = self.switches.by_id.get_mut(&id).filter(|switch| switch.has_address()) else {
             return self.call_control.fail_unsent_set_ups(id, &[tag]);
         };
+        if set_up.bound_to_exchange && !switch.identity.is_confirmed(now) {
+            return self.call_control.refuse_unconfirmed_switch(id, tag);
+        }
         if let ConnectionState::Open(open) = &switch.state
             && is_idle_close_imminent(now - open.last_used_at, self.switches.idle_timeout)
         {
@@ -309,7 +324,7 @@
             open.last_used_at = now;
             open.awaiting_response_since.get_or_insert(now);
             let output_buffer = open.connection.socket.output_buffer();
-            if set_time_left(&mut message, deadline - now).encode(output_buffer) {
+            if set_time_left(&mut set_up.message, set_up.deadline - now).encode(output_buffer) {
                 self.call_control.handle_set_up_written(id, tag, open.connection.id);
                 switch.releases.forget(tag);
             } else {
@@ -322,7 +337,7 @@
             }
             return;
         }
-        switch.queued_set_ups.push(QueuedSetUp { tag, message, deadline });
+        switch.queued_set_ups.push(set_up);
         self.connect_switch(id);
     }
 
@@ -353,6 +368,7 @@
             log(&format!("switch {} cannot be reached: {reason}", switch.listed.name));
         }
         switch.initial_state_known = true;
+        switch.identity.interrupt(now, None);
         let unreachable_since = *switch.unreachable_since.get_or_insert(now);
         let reconnect_at = now + switch.reconnect_delay;
         switch.reconnect_delay = (switch.reconnect_delay * 2).min(MAX_RECONNECT_DELAY);
@@ -452,11 +468,25 @@
                 let closed_by_switch = input.status == ReadStatus::EndOfStream;
                 let outcome = if closed_by_switch { "was closed by the switch" } else { "failed" };
                 log(&format!("switch {name}: the connection {outcome}"));
-                self.close_switch_connections_until(id, now);
+                self.lose_open_connection(id, closed_by_switch);
             }
         }
     }
 
+    /// The open connection has ended or failed: closes all connections to the switch. The process has died unless
+    /// it has only closed a connection that was idle for long.
+    pub(super) fn lose_open_connection(&mut self, id: SwitchId, closed_by_switch: bool) {
+        let now = self.clock.now();
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        if let ConnectionState::Open(open) = &switch.state {
+            let was_idle = is_idle_close_imminent(now - open.last_used_at, self.switches.idle_timeout);
+            if !(closed_by_switch && was_idle) {
+                switch.identity.interrupt(now, Some(open.as_lost()));
+            }
+        }
+        self.close_switch_connections_until(id, now);
+    }
+
     /// A connection to a switch has been established: sends the pending releases and the queued set-ups.
     fn handle_connection_established(&mut self, id: SwitchId) {
         let now = self.clock.now();
@@ -467,6 +497,7 @@
         let state = std::mem::replace(&mut switch.state, ConnectionState::Closed { reconnect_at: now });
         if let ConnectionState::Connecting { connection, .. } = state {
             switch.state = ConnectionState::Open(OpenConnection::new(connection, now));
+            switch.identity.connect(now);
         }
         let pending_releases = switch.releases.take_pending();
         self.set_switch_timer(id, now + CHECK_INTERVAL);
@@ -480,7 +511,22 @@
     fn send_queued_set_ups(&mut self, id: SwitchId) {
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         for set_up in std::mem::take(&mut switch.queued_set_ups) {
-            self.send_set_up(id, set_up.tag, set_up.message, set_up.deadline);
+            self.send_set_up(id, set_up);
+        }
+    }
+
+    /// A switch has released a call. If the call was set up on an earlier connection, the process is the same as
+    /// then.
+    fn compare_processes(&mut self, id: SwitchId, received_on: SwitchConnectionId, tag: Tag) {
+        let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
+        let answered_on = self.call_control.answered_call_connection(id, tag);
+        if let Some(set_up_on) = answered_on {
+            switch.identity.record_release(tag, set_up_on);
+        }
+        let Some(set_up_on) = answered_on.or(switch.identity.connection_of_released(tag)) else { return };
+        switch.identity.confirm_by(set_up_on);
+        if let Some(candidate) = &mut switch.candidate {
+            candidate.compare_process(received_on, set_up_on);
         }
     }
 
@@ -494,6 +540,7 @@
         if let Some(switch) = self.switches.by_id.get_mut(&id) {
             switch.initial_state_known = true;
             switch.silent_since = now;
+            switch.identity.confirm_by(connection);
         }
         if message.verb == "LOAD" {
             self.call_control.handle_load_report(id, message.load_report());
@@ -516,6 +563,7 @@
                 self.call_control.handle_answer(now, id, connection, tag, message.session_description);
             }
             "FINISH" => {
+                self.compare_processes(id, connection, tag);
                 let reason = message.release_reason();
                 let report = message.load_report();
                 let cause = message.result_code.ok_or("a release without a cause")?;
--- a/src/net/switches/list.rs
+++ b/src/net/switches/list.rs
@@ -48,6 +48,9 @@
         if before.health != listed.health {
             log(&format!("switch {} is {:?}", listed.name, listed.health));
         }
+        if before.address != listed.address {
+            switch.identity.confirm();
+        }
         if is_displaced {
             // Messages for it must not reach the switch that has its address.
             self.close_switch_connections(id);
@@ -55,6 +58,7 @@
         }
         let restarted_at = listed.up_since.filter(|up_since| before.up_since != Some(*up_since));
         if let Some(restarted_at) = restarted_at {
+            switch.identity.confirm_start(restarted_at);
             // A restarted process has lost the calls from before its start, whatever state its machine left
             // the connection in.
             self.call_control.handle_switch_down(now, id, restarted_at);
--- a/src/net/switches/replacement.rs
+++ b/src/net/switches/replacement.rs
@@ -26,6 +26,15 @@
     is_established: bool,
     /// Time from `started_at` until the switch sent its first message on this connection.
     first_message_delay: Option<Micros>,
+    /// The process has released a call on this connection that was set up on an earlier one.
+    is_same_process: bool,
+}
+
+impl CandidateConnection {
+    /// A call that was set up on one connection was released on another one.
+    pub(super) fn compare_process(&mut self, released_on: SwitchConnectionId, set_up_on: SwitchConnectionId) {
+        self.is_same_process |= released_on == self.connection.id && set_up_on < released_on;
+    }
 }
 
 impl Gatekeeper {
@@ -92,6 +101,7 @@
                     deadline,
                     is_established: false,
                     first_message_delay: None,
+                    is_same_process: false,
                 });
             }
             Err(error) => {
@@ -111,7 +121,7 @@
         // The switch counts as unreachable since the silence began, so that attempts to connect need not fail
         // for another `UNREACHABLE_TIMEOUT` before its calls are released.
         switch.unreachable_since = Some(switch.silent_since);
-        self.close_switch_connections_until(id, now);
+        self.lose_open_connection(id, false);
         self.call_control.handle_switch_down(now, id, now);
     }
 
@@ -125,6 +135,10 @@
         log(&format!("switch {}: set-ups are not answered; a new connection takes over", switch.listed.name));
         let open = ConnectionState::Open(OpenConnection::new(candidate.connection, now));
         if let ConnectionState::Open(mut old) = std::mem::replace(&mut switch.state, open) {
+            if !candidate.is_same_process {
+                switch.identity.interrupt(now, Some(old.as_lost()));
+                switch.identity.connect(now);
+            }
             let unsent = old.connection.socket.take_unsent_messages(lines::TERMINATOR);
             let predecessor = old.connection.id;
             let mut replaced = ReplacedConnection::new(old.connection, now);
@@ -143,16 +157,25 @@
     }
 
     /// Sends the messages on the open connection that could not be sent on the one that it has replaced, and
-    /// repeats the releases that may be lost there.
+    /// repeats the releases that may be lost there. A set-up that may go to no other exchange is not sent if the
+    /// process may be another one than before.
     fn send_messages_of_predecessor(
         &mut self, id: SwitchId, predecessor: SwitchConnectionId, mut encoded: &[u8],
     ) {
         let now = self.clock.now();
         let Some(switch) = self.switches.by_id.get_mut(&id) else { return };
         let ConnectionState::Open(open) = &mut switch.state else { return };
-        open.connection.socket.output_buffer().extend_from_slice(encoded);
+        let is_confirmed = switch.identity.is_confirmed(now);
         while let Ok(Some((message, size))) = lines::decode(encoded) {
-            encoded = encoded.get(size..).unwrap_or_default();
+            let (line, rest) = encoded.split_at_checked(size).unwrap_or((encoded, &[]));
+            encoded = rest;
+            let set_up = message.parse_tag().filter(|_| message.verb == "START");
+            let may_be_sent = |tag: Tag| is_confirmed || !self.call_control.is_bound_to_exchange(tag);
+            if let Some(tag) = set_up.filter(|tag| !may_be_sent(*tag)) {
+                self.call_control.refuse_unconfirmed_switch(id, tag);
+                continue;
+            }
+            open.connection.socket.output_buffer().extend_from_slice(line);
             match (message.verb.as_str(), message.parse_tag()) {
                 ("START", Some(tag)) => {
                     open.awaiting_response_since.get_or_insert(now);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -333,6 +333,16 @@
         line.trim().trim_end_matches(" kB").parse::<f64>().unwrap() * 1024.0 / 1e6
     }
 
+    /// Reads a message to a caller and returns its tag.
+    fn read_tag(&mut self, party: &str) -> u64 {
+        let mut start = [0; 11];
+        self.connection(party).read_exact(&mut start).unwrap();
+        let (length, rest) = start.split_at(2);
+        let length = usize::from(u16::from_be_bytes(length.try_into().unwrap()));
+        self.connection(party).read_exact(&mut vec![0; length + 2 - start.len()]).unwrap();
+        u64::from_be_bytes(rest[1..].try_into().unwrap())
+    }
+
     fn connection(&mut self, party: &str) -> &mut BufReader<TcpStream> {
         self.connections.get_mut(party).expect("an open connection")
     }
@@ -399,6 +409,8 @@
     late_release_of_an_earlier_attempt
     long_and_split_messages
     malformed_input
+    new_process_at_the_address_of_a_switch
+    new_process_takes_over_from_a_silent_one
     newer_switch_in_the_list_of_the_start
     no_caller_connected
     older_switch_is_listed_again
@@ -412,6 +424,8 @@
     reload
     release_is_not_delayed_on_a_quiet_connection
     reset_waits_for_the_release
+    same_process_after_a_reset
+    same_process_on_a_second_connection
     silent_switch
     stuck_connection
     sigterm
@@ -460,12 +474,12 @@
     rest.lines().filter(|line| !line.starts_with("//")).for_each(|line| runner.execute(line));
 }
 
-/// Guards against set-ups that are lost when another connection takes over before the socket has accepted them:
-/// their calls were answered a second late or not at all.
-#[test]
-fn set_ups_that_were_not_sent_are_sent_on_the_connection_that_takes_over() {
-    // More than the buffers of the sockets hold; and no call times out before all have been read.
-    const CALLS: u64 = 600;
+/// Calls whose set-ups take more than the buffers of a connection hold.
+const CALLS_OVER_THE_BUFFERS: u64 = 600;
+
+/// Sends [`CALLS_OVER_THE_BUFFERS`] calls with these routing attributes to s1, which reads none of them until another
+/// connection, s1b, has taken over. No call times out before all have been read.
+fn send_calls_until_another_connection_takes_over(routing: &str) -> Runner {
     let mut runner =
         Runner::start([("\"memory_mb\": 192", "\"memory_mb\": 1000"), ("\"aimS\": 2.0", "\"aimS\": 60.0")]);
     runner.execute_file("start.txt");
@@ -475,17 +489,22 @@
     runner.execute(r#"s1 < {"verb":"START","tag":"0000000000001000",*"#);
     runner.execute(r#"s1 > {"verb":"STARTED","tag":"0000000000001000"}"#);
     runner.execute("c1 < #(09 0000000000001000)");
-    for call in 1..=CALLS {
+    for call in 1..=CALLS_OVER_THE_BUFFERS {
         runner.execute(&format!(
-            r#"c1 > #(01 {call:016x} b4#("check") b6#("60000") bc#("{call}") be#("dest:1") d2#("v"*15000))"#
+            r#"c1 > #(01 {call:016x} b4#("check") b6#("60000") bc#("{call}") be#("{routing}") d2#("v"*15000))"#
         ));
     }
     runner.execute("s1b accepts");
     runner.execute(r#"s1b > {"verb":"LOAD","tag":"","opts":{"load":"x0:700;x1:700"}}"#);
     runner.wait_for_log("a new connection takes over");
+    runner
+}
+
+/// Reads the set-ups on the connections of some parties: the index of the party, and the tag.
+fn read_set_ups(runner: &mut Runner, parties: &[&str]) -> Receiver<(usize, String)> {
     let (sender, set_ups) = channel();
-    for (index, party) in ["s1", "s1b"].into_iter().enumerate() {
-        let connection = runner.connections.remove(party).unwrap();
+    for (index, party) in parties.iter().enumerate() {
+        let connection = runner.connections.remove(*party).unwrap();
         let sender = sender.clone();
         std::thread::spawn(move || {
             let lines = connection.lines().map_while(Result::ok);
@@ -494,14 +513,43 @@
             tags.all(|tag| sender.send((index, tag)).is_ok())
         });
     }
+    set_ups
+}
+
+/// Guards against set-ups that are lost when another connection takes over before the socket has accepted them:
+/// their calls were answered a second late or not at all.
+#[test]
+fn set_ups_that_were_not_sent_are_sent_on_the_connection_that_takes_over() {
+    let mut runner = send_calls_until_another_connection_takes_over("dest:1");
+    let set_ups = read_set_ups(&mut runner, &["s1", "s1b"]);
     let mut tags = [vec![], vec![]];
-    for _ in 1..=CALLS {
+    for _ in 1..=CALLS_OVER_THE_BUFFERS {
         let (index, tag) = set_ups.recv_timeout(HANG_TIMEOUT).expect("a further set-up");
         tags[index].push(tag);
     }
     println!("{} set-ups on the first connection, {} on the second", tags[0].len(), tags[1].len());
     assert!(!tags[0].is_empty() && !tags[1].is_empty());
-    assert_eq!(tags.concat(), (1..=CALLS).map(|call| format!("{call:016x}")).collect::<Vec<String>>());
+    let all_tags = (1..=CALLS_OVER_THE_BUFFERS).map(|call| format!("{call:016x}"));
+    assert_eq!(tags.concat(), all_tags.collect::<Vec<String>>());
+}
+
+/// Guards against transit calls that reach another exchange: their set-ups were not sent before another connection
+/// took over, and the process there may be a new one.
+#[test]
+fn transit_set_ups_that_were_not_sent_are_refused_when_another_connection_takes_over() {
+    let mut runner = send_calls_until_another_connection_takes_over("dest:1;via:2;transit:1");
+    let set_ups = read_set_ups(&mut runner, &["s1"]);
+    let mut sent = 0;
+    let first_refused = runner.read_tag("c1");
+    while sent + 1 < first_refused {
+        let (_, tag) = set_ups.recv_timeout(HANG_TIMEOUT).expect("a further set-up");
+        sent += 1;
+        assert_eq!(tag, format!("{sent:016x}"));
+    }
+    println!("{sent} set-ups on the first connection");
+    for call in first_refused + 1..=CALLS_OVER_THE_BUFFERS {
+        runner.execute(&format!(r#"c1 < #(0c {call:016x} d0#(2a) c0#("2000"))"#));
+    }
 }
 
 #[test]
