--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -429,6 +429,7 @@
     silent_switch
     stuck_connection
     sigterm
+    switch_is_listed_at_another_exchange
     switches_come_and_go
     time_out
 }
