Refuse a set-up whose id belongs to a call that was sent to a switch before

Change: such a set-up is refused with cause 42 and a back-off. An id whose call was never sent may come again.

--- a/src/call.rs
+++ b/src/call.rs
@@ -246,7 +246,8 @@
     // Messages and connections of callers.
 
     /// Takes a set-up from a caller. If the call table is full, the session descriptions would take too many
-    /// bytes, or the caller has its share of both, the set-up is rejected without asking the controller.
+    /// bytes, the caller has its share of both, or a call with this tag was sent to a switch before, the set-up is
+    /// rejected without asking the controller.
     ///
     /// # Errors
     /// The set-up was not accepted, and the caller has not been told.
@@ -272,6 +273,11 @@
         if !valid {
             return Err(SetUpError::Invalid);
         }
+        if self.ended_tags.was_sent(set_up.tag) {
+            // The call would run twice, and perhaps before its first attempt is over at the switch.
+            self.reject_for_congestion(connection, set_up.tag);
+            return Ok(());
+        }
         let description_bytes = set_up.session_description.as_ref().map_or(0, String::len);
         if !self.unanswered.may_add(caller, description_bytes, &self.free_room()) {
             // Bounds the memory that calls take, by the limits in the settings and the configuration.
--- a/src/call/ended_tags.rs
+++ b/src/call/ended_tags.rs
@@ -43,6 +43,11 @@
         self.sent.tags.contains(&tag) || self.unsent.tags.contains(&tag)
     }
 
+    /// Whether a tag is kept as that of a call that a switch knows.
+    pub fn was_sent(&self, tag: Tag) -> bool {
+        self.sent.tags.contains(&tag)
+    }
+
     /// Removes the tags that have been kept for long enough.
     pub fn remove_expired(&mut self, now: Micros) {
         self.sent.remove_expired(now);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -404,6 +404,7 @@
     flood_of_refused_set_ups
     flood_of_transit_set_ups
     group_full_takes_the_tandem
+    id_of_an_ended_call_comes_again
     idle_close
     late_answer_of_an_earlier_attempt
     late_release_of_an_earlier_attempt
