Count the circuits of set-ups that were never sent as free again

Cause: the controller counts the circuits of a set-up as taken and waits for the next load report. No report comes for a set-up that is not sent: the caller has left in the batch of the set-up, or the message exceeds the size limit. The group then counted as full.

Change: the controller gives the circuits back when a caller leaves in the batch of its set-up, and for the new reason SetUpTooLong.

--- a/src/call.rs
+++ b/src/call.rs
@@ -510,12 +510,17 @@
 
     /// Ends the attempt whose set-up is too long to be sent.
     pub fn fail_oversized_set_up(&mut self, switch: SwitchId, tag: Tag) {
-        self.end_attempts(switch, Outcome::Failed, |call| call.tag == tag);
+        self.end_unsent_attempt(switch, tag, Outcome::Failed, EndReason::SetUpTooLong);
     }
 
     /// Ends an attempt whose set-up is not sent because the process at the address of the switch may be one of
     /// another exchange.
     pub fn refuse_unconfirmed_switch(&mut self, switch: SwitchId, tag: Tag) {
+        self.end_unsent_attempt(switch, tag, Outcome::NotSent, EndReason::ProcessUnconfirmed);
+    }
+
+    /// Ends an attempt whose set-up is not sent to its switch.
+    fn end_unsent_attempt(&mut self, switch: SwitchId, tag: Tag, outcome: Outcome, reason: EndReason) {
         let Some(id) = self.call_ids.get(&tag).copied() else { return };
         let Some(call) = self.calls.get_mut(&id).filter(|call| call.attempt_at(switch).is_some()) else {
             return;
@@ -525,8 +530,8 @@
             call: id,
             attempt_number: attempt.number,
             switch,
-            outcome: Outcome::NotSent,
-            reason: EndReason::ProcessUnconfirmed,
+            outcome,
+            reason,
             call_closed: false,
             report: LoadReport::default(),
         }));
--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -387,3 +387,29 @@
     fixture.call_control.handle_caller_release(fixture.now, flooding, 20_002);
     assert_eq!(fixture.call_control.commands[1..], [Command::ReleaseAtAllSwitches(20_002)]);
 }
+
+/// Guards against a group that is taken for full because of set-ups that were never sent: their callers have left in the
+/// batch of the set-up, or the set-ups are too long. No load report puts that right, as the group has not changed.
+#[test]
+fn set_ups_that_were_never_sent_leave_their_circuits_to_others() {
+    let leave_at_once = |fixture: &mut Fixture, tag: Tag| {
+        fixture.call_control.handle_set_up(fixture.now, TRUSTED_CALLER, fixture.set_up(tag)).unwrap();
+        fixture.call_control.handle_caller_disconnect(fixture.now, CALLER);
+        fixture.now += 10 * MILLISECOND;
+        assert_eq!(fixture.run_iteration(), []);
+    };
+    let exceed_the_limit = |fixture: &mut Fixture, tag: Tag| {
+        let commands = fixture.set_up_call(tag, 3000 * MILLISECOND);
+        assert!(matches!(commands[..], [Command::SetUp { .. }]), "{commands:?}");
+        fixture.call_control.fail_oversized_set_up(SWITCH, tag);
+        fixture.now += 10 * MILLISECOND;
+        assert!(matches!(fixture.run_iteration()[..], [Command::Reject { .. }]));
+    };
+    let ways: [&dyn Fn(&mut Fixture, Tag); 2] = [&leave_at_once, &exceed_the_limit];
+    for never_sent in ways {
+        let mut fixture = Fixture::new();
+        (1..=20).for_each(|tag| never_sent(&mut fixture, tag));
+        let commands = fixture.set_up_call(21, 3000 * MILLISECOND);
+        assert!(matches!(commands[..], [Command::SetUp { tag: 21, .. }]), "{commands:?}");
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -541,7 +541,7 @@
                 self.on_call_answered(now, call, attempt_number, set_up_delay, actions);
             }
             Event::AttemptEnded(end) => self.on_attempt_ended(now, end, actions),
-            Event::CallerGone(call) => self.remove_call(call, actions),
+            Event::CallerGone(call) => self.on_caller_gone(now, call, actions),
             Event::Timer(TIMER_TICK) => self.on_tick(now, actions),
             Event::Timer(TIMER_RESUBSCRIBE) => actions.push(Action::Subscribe),
             Event::Timer(token) => {
@@ -1281,6 +1281,9 @@
                 // At most one attempt follows, even if the settings allow more.
                 attempt_again = self.calls[&id].attempt_count < 2;
             }
+            (Outcome::Failed, EndReason::SetUpTooLong) => {
+                self.switches.entry(switch).and_modify(|s| s.return_circuits(circuits));
+            }
             (Outcome::Failed, EndReason::SubscriberBusy) => {
                 self.called_numbers.record_busy(now, &called_number, source);
                 number_is_busy = true;
@@ -1337,6 +1340,19 @@
         self.remove_call(id, actions);
     }
 
+    /// Removes a call whose caller has given it up. Actions are executed after the last event of a batch, so an
+    /// attempt of the same batch is never sent.
+    fn on_caller_gone(&mut self, now: Micros, id: CallId, actions: &mut Vec<Action>) {
+        if let Some(call) = self.calls.get(&id)
+            && let CallState::Attempting { switch, sent_at, .. } = call.state
+            && sent_at == now
+        {
+            let circuits = call.request.circuits;
+            self.switches.entry(switch).and_modify(|s| s.return_circuits(circuits));
+        }
+        self.remove_call(id, actions);
+    }
+
     /// Removes a call and cancels its timers. All calls are removed here.
     fn remove_call(&mut self, id: CallId, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(&id) else { return };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -244,6 +244,8 @@
     ProcessorCongested(Micros),
     /// No line of the called number is free.
     SubscriberBusy,
+    /// With [`Outcome::Failed`]: the set-up was not sent, as it is too long for any switch.
+    SetUpTooLong,
     /// With [`Outcome::NotSent`]: the process at the address of the switch may be one of another exchange, to
     /// which the call may not go.
     ProcessUnconfirmed,
