--- a/src/call/tests.rs
+++ b/src/call/tests.rs
@@ -388,6 +388,9 @@
     assert_eq!(fixture.call_control.commands[1..], [Command::ReleaseAtAllSwitches(20_002)]);
 }
 
+/// Offers a call with this tag whose set-up is never sent.
+type NeverSent = fn(&mut Fixture, Tag);
+
 /// Guards against a group that is taken for full because of set-ups that were never sent: their callers have left in the
 /// batch of the set-up, or the set-ups are too long. No load report puts that right, as the group has not changed.
 #[test]
@@ -405,7 +408,7 @@
         fixture.now += 10 * MILLISECOND;
         assert!(matches!(fixture.run_iteration()[..], [Command::Reject { .. }]));
     };
-    let ways: [&dyn Fn(&mut Fixture, Tag); 2] = [&leave_at_once, &exceed_the_limit];
+    let ways: [NeverSent; 2] = [leave_at_once, exceed_the_limit];
     for never_sent in ways {
         let mut fixture = Fixture::new();
         (1..=20).for_each(|tag| never_sent(&mut fixture, tag));
