Pass over the set-ups of a caller that has left, but not its releases

What callers saw: processors busy with calls that nobody waits for.

Cause: the end of a connection was noticed when all before it had been read, a chunk in each iteration; the set-ups in these chunks were handled as usual.

Change: before a chunk is handled, the system is asked (poll, with rustix, which calloop uses already) whether the connection has failed or its caller has finished sending. A progress message then shows whether the caller has closed the whole connection; if more than a chunk is left to read, that waits for the reset for 50 ms. Of a caller that has left only releases count. A connection on which sending fails is read to its end, too, and logged with the others that were closed.

--- a/src/call.rs
+++ b/src/call.rs
@@ -670,6 +670,7 @@
             TimerEvent::SwitchConnection(_)
             | TimerEvent::ControlFeed
             | TimerEvent::CallerMaintenance
+            | TimerEvent::CallerInput(_)
             | TimerEvent::Shutdown => {}
         }
     }
--- a/src/call/messages.rs
+++ b/src/call/messages.rs
@@ -227,6 +227,8 @@
     ControlFeed,
     /// The periodic check of the callers' connections.
     CallerMaintenance,
+    /// The end of the wait before more is read of a caller that has finished sending.
+    CallerInput(ConnectionId),
     /// A stage of the shutdown.
     Shutdown,
 }
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -41,6 +41,9 @@
 /// Most bytes that are read at once of a connection on which no call has been answered yet, so that many of
 /// them are read in an iteration.
 const UNTRUSTED_READ_CHUNK_BYTES: usize = 4 * 1024;
+/// How long the input of a caller waits that has finished sending, if more of it is unread than a chunk. It covers
+/// the way of a progress message to the caller and that of the reset back.
+const PRESENCE_CHECK_TIME: Micros = 50 * MILLISECOND;
 /// Longest called number that a set-up may have.
 const MAX_CALLED_NUMBER_BYTES: usize = 64;
 /// Largest absolute value of an integer among the routing attributes of a set-up. A set-up with a larger one
@@ -58,12 +61,34 @@
     AnsweredCall,
 }
 
+/// What is known of the caller at the other end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallerState {
+    /// It may send more.
+    Connected,
+    /// It has finished sending, and all of that has been read. The connection is closed once its set-ups have been
+    /// answered or rejected and all output is sent.
+    HalfClosed,
+    /// It has closed the whole connection. What it sent before is still read for releases of answered calls.
+    Left,
+}
+
+/// Whether it was checked that a caller that has finished sending is still there. It may have closed the whole
+/// connection; its host then answers a progress message, which carries no information, with a reset.
+enum Presence {
+    NotChecked,
+    /// The progress message was sent, and there is more to read. The input waits in its buffer until this time.
+    Awaited {
+        until: Micros,
+    },
+    Checked,
+}
+
 /// A connection from a caller.
 struct CallerConnection {
     connection: Connection,
-    /// The caller has finished sending. The connection is closed once its set-ups have been answered or
-    /// rejected and all output is sent.
-    half_closed: bool,
+    state: CallerState,
+    presence: Presence,
     trust: TrustLevel,
     /// When the last set-up that was accepted, health check or release was received, or the last answer was
     /// sent; before that, when the connection was accepted.
@@ -79,6 +104,72 @@
     fn is_trusted(&self) -> bool {
         self.trust == TrustLevel::AnsweredCall
     }
+
+    fn is_connected(&self) -> bool {
+        self.state == CallerState::Connected
+    }
+
+    /// Sends a progress message to a caller that has finished sending. Returns true if it has been found to have
+    /// left by then.
+    fn check_presence(&mut self, tag: Tag) -> bool {
+        self.presence = Presence::Checked;
+        Message::new(message_type::PROGRESS, tag).encode(self.connection.output_buffer());
+        // A failure is noticed right below, or with the next output.
+        let _ = self.connection.flush();
+        self.connection.has_failed()
+    }
+
+    /// Reads at most `max_bytes` into the input buffer.
+    fn read(&mut self, max_bytes: usize) -> ReadInput {
+        let buffered_before = self.connection.input_buffer.len();
+        let received = |connection: &Connection| connection.input_buffer.len() - buffered_before;
+        let mut status = self.connection.read(max_bytes);
+        let rest_bytes = max_bytes.saturating_sub(received(&self.connection));
+        if status == ReadStatus::MorePossible && rest_bytes > 0 {
+            // Shows whether the caller has finished sending.
+            status = self.connection.read(rest_bytes);
+        }
+        ReadInput { status, bytes: received(&self.connection) }
+    }
+
+    /// Decodes the messages in the input buffer.
+    fn decode_input(&mut self, now: Micros) -> (Vec<Message>, Result<(), &'static str>) {
+        let (messages, result) = self.connection.decode_messages(binary::decode);
+        let has_incomplete_message = !self.connection.input_buffer.is_empty();
+        self.incomplete_since = match self.incomplete_since {
+            _ if !has_incomplete_message => None,
+            Some(since) if messages.is_empty() => Some(since),
+            // The time-out starts again after a complete message: what is left is the start of another one.
+            _ => Some(now),
+        };
+        (messages, result)
+    }
+
+    /// The tag of the first message in the input buffer, if the caller has finished sending after that message and
+    /// its presence has not been checked.
+    fn first_tag_before_end(&self, status: &ReadStatus) -> Option<Tag> {
+        let is_checked = !matches!(self.presence, Presence::NotChecked);
+        if is_checked || !self.is_connected() {
+            return None;
+        }
+        let has_finished = match status {
+            ReadStatus::EndOfStream => true,
+            ReadStatus::WouldBlock | ReadStatus::Failed => false,
+            ReadStatus::MorePossible => self.connection.peer_has_finished_sending(),
+        };
+        let first = if has_finished { binary::decode(&self.connection.input_buffer) } else { Ok(None) };
+        first.ok().flatten().map(|(message, _)| message.tag)
+    }
+}
+
+/// The connections that are at an end after output was sent.
+#[derive(Default)]
+struct EndedConnections {
+    /// Those to be closed, with the reason if it is to be logged: they do not read, or all that was to be sent on a
+    /// half-closed one has been sent.
+    to_close: Vec<(ConnectionId, Option<String>)>,
+    /// Those that have failed, with the reason.
+    left: Vec<(ConnectionId, String)>,
 }
 
 /// A health check that has not been answered.
@@ -87,6 +178,12 @@
     tag: Tag,
 }
 
+/// What was read of a caller at one time.
+struct ReadInput {
+    status: ReadStatus,
+    bytes: usize,
+}
+
 /// A release that waits for a connection to send it on.
 #[derive(Clone, Copy)]
 struct PendingRelease {
@@ -161,7 +258,8 @@
             Ok(connection) => {
                 let caller = CallerConnection {
                     connection,
-                    half_closed: false,
+                    state: CallerState::Connected,
+                    presence: Presence::NotChecked,
                     trust: TrustLevel::Unknown,
                     last_active_at: now,
                     incomplete_since: None,
@@ -256,7 +354,7 @@
     /// there is a suitable connection.
     pub fn release(&mut self, now: Micros, id: Option<ConnectionId>, tag: Tag, cause: u8) {
         let is_fully_open =
-            |id: &ConnectionId| self.connections.get(id).is_some_and(|caller| !caller.half_closed);
+            |id: &ConnectionId| self.connections.get(id).is_some_and(CallerConnection::is_connected);
         match id.filter(is_fully_open).or_else(|| self.best_connection(TrustLevel::ValidMessage)) {
             Some(id) => self.send_release(id, tag, cause),
             None if self.pending_releases.len() < self.max_pending_releases => {
@@ -281,7 +379,7 @@
     /// the one of them that was active last.
     fn best_connection(&self, min_trust: TrustLevel) -> Option<ConnectionId> {
         let suitable =
-            self.connections.iter().filter(|(_, caller)| !caller.half_closed && caller.trust >= min_trust);
+            self.connections.iter().filter(|(_, caller)| caller.is_connected() && caller.trust >= min_trust);
         suitable.max_by_key(|(_, caller)| (caller.trust, caller.last_active_at)).map(|(id, _)| *id)
     }
 
@@ -324,29 +422,35 @@
         !self.pending_health_checks.is_empty()
     }
 
+    fn record_unlogged_close(&mut self, reason: &str) {
+        self.last_close_reason = reason.to_string();
+        self.unlogged_closes += 1;
+    }
+
     /// Returns true if no output is waiting to be sent on any connection.
     pub fn is_flushed(&self) -> bool {
         self.connections.values().all(|caller| caller.connection.is_flushed())
     }
 
-    /// Sends as much output as the sockets accept. Returns the connections to close: those that have failed,
-    /// and half-closed ones without an unanswered call whose output has all been sent.
-    pub fn flush(&mut self, has_unanswered_call: impl Fn(ConnectionId) -> bool) -> Vec<ConnectionId> {
-        let mut to_close = Vec::new();
+    /// Sends as much output as the sockets accept. Returns the connections that are at an end.
+    fn flush(&mut self, has_unanswered_call: impl Fn(ConnectionId) -> bool) -> EndedConnections {
+        let mut ended = EndedConnections::default();
         for (id, caller) in &mut self.connections {
-            let failed = match caller.connection.flush() {
-                Ok(()) => false,
-                Err(error) => {
-                    log(&format!("a caller's connection is closed: sending on it failed: {error}"));
-                    true
+            if caller.state == CallerState::Left {
+                caller.connection.discard_output();
+                continue;
+            }
+            let is_half_closed = caller.state == CallerState::HalfClosed;
+            match caller.connection.flush() {
+                Err(error) if caller.connection.has_failed() => ended.left.push((*id, error.to_string())),
+                Err(error) => ended.to_close.push((*id, Some(error.to_string()))),
+                Ok(()) if is_half_closed && caller.connection.is_flushed() && !has_unanswered_call(*id) => {
+                    ended.to_close.push((*id, None));
                 }
-            };
-            let finished = caller.half_closed && caller.connection.is_flushed() && !has_unanswered_call(*id);
-            if failed || finished {
-                to_close.push(*id);
+                Ok(()) => {}
             }
         }
-        to_close
+        ended
     }
 
     /// The connections to close because all together hold more bytes than the limit: those that hold the
@@ -422,8 +526,7 @@
     /// Closes a connection for a reason to be logged. Many may be closed in a short time, so the maintenance
     /// writes one log line for all that were closed since its last run.
     fn close_caller_connection_with_reason(&mut self, id: ConnectionId, reason: &str) {
-        self.callers.last_close_reason = reason.to_string();
-        self.callers.unlogged_closes += 1;
+        self.callers.record_unlogged_close(reason);
         self.close_caller_connection(id);
     }
 
@@ -458,32 +561,85 @@
         caller.is_none_or(|caller| self.pending_reads.may_read_callers(caller.is_trusted()))
     }
 
+    /// Sends the output to callers, and closes the connections that are at an end.
+    pub(super) fn flush_callers(&mut self) {
+        let call_control = &self.call_control;
+        let ended = self.callers.flush(|connection| call_control.unanswered_call(connection).is_some());
+        for (id, reason) in ended.to_close {
+            match reason {
+                Some(reason) => self.close_caller_connection_with_reason(id, &reason),
+                None => self.close_caller_connection(id),
+            }
+        }
+        for (id, reason) in ended.left {
+            self.handle_caller_left(id, &reason);
+        }
+    }
+
+    /// A caller has closed the whole connection, or it has failed: its unanswered calls are released. What it sent
+    /// before is read first, as it may have released answered calls.
+    fn handle_caller_left(&mut self, id: ConnectionId, reason: &str) {
+        let now = self.clock.now();
+        let Some(caller) = self.callers.connections.get_mut(&id) else { return };
+        if caller.state == CallerState::HalfClosed {
+            return self.close_caller_connection_with_reason(id, reason);
+        }
+        caller.state = CallerState::Left;
+        self.callers.pending_health_checks.retain(|check| check.connection_id != id);
+        self.callers.record_unlogged_close(reason);
+        self.call_control.handle_caller_disconnect(now, id);
+        self.pending_reads.push(PendingRead::Caller(id));
+    }
+
     /// Reads a chunk of a caller's input and handles the messages in it.
     pub(super) fn read_caller(&mut self, id: ConnectionId) {
         let now = self.clock.now();
         let Some(caller) = self.callers.connections.get_mut(&id) else { return };
-        if caller.half_closed {
-            // There is no more input, and `Callers::flush` sends the output. Only a failure of the
-            // connection, such as a reset by the caller, has to be handled.
-            if !matches!(caller.connection.check_connected(), Ok(true)) {
-                self.close_caller_connection(id);
-            }
+        if caller.connection.has_failed() && caller.state != CallerState::Left {
+            return self.handle_caller_left(id, "it was closed by the caller");
+        }
+        let is_awaited = matches!(caller.presence, Presence::Awaited { until } if now < until);
+        if caller.state == CallerState::HalfClosed || (is_awaited && caller.is_connected()) {
+            // There is no more input, or it waits. `Callers::flush` sends the output.
             return;
         }
+        if matches!(caller.presence, Presence::Awaited { .. }) {
+            caller.presence = Presence::Checked;
+            return self.handle_caller_input(id, ReadStatus::MorePossible);
+        }
         let is_trusted = caller.is_trusted();
-        let buffered_before = caller.connection.input_buffer.len();
         let max_bytes = if is_trusted { READ_CHUNK_BYTES } else { UNTRUSTED_READ_CHUNK_BYTES };
-        let read_status = caller.connection.read(max_bytes);
-        let received = caller.connection.input_buffer.len() - buffered_before;
-        self.pending_reads.record_caller_bytes(is_trusted, received);
-        let (messages, decode_result) = caller.connection.decode_messages(binary::decode);
-        let has_incomplete_message = !caller.connection.input_buffer.is_empty();
-        caller.incomplete_since = match caller.incomplete_since {
-            _ if !has_incomplete_message => None,
-            Some(since) if messages.is_empty() => Some(since),
-            // The time-out starts again after a complete message: what is left is the start of another one.
-            _ => Some(now),
-        };
+        let input = caller.read(max_bytes);
+        self.pending_reads.record_caller_bytes(is_trusted, input.bytes);
+        if !self.must_await_presence(id, &input.status) {
+            self.handle_caller_input(id, input.status);
+        }
+    }
+
+    /// Checks whether a caller has left that has finished sending, so that its set-ups are not sent on for nobody.
+    /// Returns true if its input must wait for the result.
+    fn must_await_presence(&mut self, id: ConnectionId, status: &ReadStatus) -> bool {
+        let now = self.clock.now();
+        let Some(caller) = self.callers.connections.get_mut(&id) else { return false };
+        let Some(tag) = caller.first_tag_before_end(status) else { return false };
+        if caller.check_presence(tag) {
+            self.handle_caller_left(id, "it was closed by the caller");
+            return false;
+        }
+        if *status != ReadStatus::MorePossible {
+            return false;
+        }
+        let until = now + PRESENCE_CHECK_TIME;
+        caller.presence = Presence::Awaited { until };
+        self.call_control.timers.push(until, TimerEvent::CallerInput(id));
+        true
+    }
+
+    /// Handles the messages in a caller's input buffer and goes on reading.
+    fn handle_caller_input(&mut self, id: ConnectionId, status: ReadStatus) {
+        let now = self.clock.now();
+        let Some(caller) = self.callers.connections.get_mut(&id) else { return };
+        let (messages, decode_result) = caller.decode_input(now);
         for message in messages {
             if !self.handle_caller_message(id, message) {
                 return;
@@ -492,22 +648,29 @@
         if let Err(error) = decode_result {
             return self.close_caller_connection_with_reason(id, &format!("it sent {error}"));
         }
-        match read_status {
-            ReadStatus::WouldBlock => {}
+        let Some(caller) = self.callers.connections.get(&id) else { return };
+        let has_left = caller.state == CallerState::Left;
+        match status {
             // The next chunk is read in the next iteration of the event loop.
             ReadStatus::MorePossible => self.pending_reads.push(PendingRead::Caller(id)),
-            ReadStatus::Failed => self.close_caller_connection(id),
-            ReadStatus::EndOfStream => match self.call_control.unanswered_call(id) {
-                // The caller may have shut down only its sending side and still wait for the answer. If it
-                // has closed the whole connection, its host answers the progress message, which carries no
-                // information, with a reset.
-                Some(tag) => {
-                    self.callers.write_message(id, &Message::new(message_type::PROGRESS, tag));
-                    self.callers.connections.entry(id).and_modify(|caller| caller.half_closed = true);
-                }
+            ReadStatus::WouldBlock if !has_left => {}
+            ReadStatus::EndOfStream if !has_left => match self.call_control.unanswered_call(id) {
+                // The caller may have shut down only its sending side and still wait for the answer.
+                Some(tag) => self.half_close(id, tag),
                 // A health check that is still pending on the connection is not answered.
                 None => self.close_caller_connection(id),
             },
+            _ => self.close_caller_connection(id),
+        }
+    }
+
+    /// A caller with an unanswered call has finished sending.
+    fn half_close(&mut self, id: ConnectionId, tag: Tag) {
+        let Some(caller) = self.callers.connections.get_mut(&id) else { return };
+        caller.state = CallerState::HalfClosed;
+        let is_checked = !matches!(caller.presence, Presence::NotChecked);
+        if !is_checked && caller.check_presence(tag) {
+            self.close_caller_connection(id);
         }
     }
 
@@ -515,8 +678,12 @@
     fn handle_caller_message(&mut self, id: ConnectionId, message: Message) -> bool {
         let now = self.clock.now();
         let tag = message.tag;
-        let trust = self.callers.connections.get(&id).map_or(TrustLevel::Unknown, |caller| caller.trust);
+        let caller = self.callers.connections.get(&id);
+        let has_left = caller.is_none_or(|caller| caller.state == CallerState::Left);
+        let trust = caller.map_or(TrustLevel::Unknown, |caller| caller.trust);
         match message.message_type {
+            // Nobody waits for the answers any more.
+            message_type::SET_UP | message_type::HEALTH_CHECK if has_left => {}
             message_type::SET_UP => return self.handle_set_up_message(now, id, &message, trust),
             message_type::RELEASE if tag != 0 => {
                 let caller = Caller { connection: id, is_trusted: trust == TrustLevel::AnsweredCall };
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -3,6 +3,7 @@
 use super::Gatekeeper;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{Domain, Protocol, SockAddr, SockRef, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -18,6 +19,9 @@
 /// Linux error number of a non-blocking connect in progress.
 const EINPROGRESS: i32 = 115;
 
+/// The time-out of a poll that does not wait.
+const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+
 /// Outcome of [`Connection::read`].
 #[derive(Debug, PartialEq)]
 pub enum ReadStatus {
@@ -41,6 +45,8 @@
     output_buffer: Vec<u8>,
     /// The last byte that the socket has accepted.
     last_sent_byte: Option<u8>,
+    /// The system has reported an error of the socket.
+    has_failed: bool,
     /// Limit on the output buffer, for a peer that does not read.
     max_unsent_bytes: usize,
 }
@@ -70,6 +76,7 @@
             input_buffer: vec![],
             output_buffer: vec![],
             last_sent_byte: None,
+            has_failed: false,
             max_unsent_bytes,
         })
     }
@@ -103,6 +110,21 @@
         }
     }
 
+    /// Returns true if the connection has failed, for example because the peer has reset it. There may be input
+    /// all the same, which came before.
+    pub fn has_failed(&mut self) -> bool {
+        self.has_failed |= !matches!(self.stream.take_error(), Ok(None));
+        self.has_failed
+    }
+
+    /// Returns true if the peer is known to have finished sending, also while there is input before that end.
+    pub fn peer_has_finished_sending(&self) -> bool {
+        let mut fds = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+        // Where the system does not tell, the end is noticed when it is read.
+        let is_known = poll(&mut fds, Some(&NO_WAIT)).is_ok_and(|ready| ready > 0);
+        is_known && fds.iter().any(|fd| fd.revents().contains(PollFlags::RDHUP))
+    }
+
     /// Reads at most `max_bytes`, and no more than one chunk, of the bytes available and appends them to the
     /// input buffer.
     pub fn read(&mut self, max_bytes: usize) -> ReadStatus {
@@ -175,6 +197,7 @@
         if self.output_buffer.is_empty() {
             self.output_buffer = Vec::new();
         }
+        self.has_failed |= result.is_err();
         if self.output_buffer.len() > self.max_unsent_bytes {
             return Err(io::Error::other(format!(
                 "{} unsent bytes exceed the limit of {}: the peer does not read",
@@ -185,6 +208,11 @@
         result
     }
 
+    /// Drops the output that has not been sent.
+    pub fn discard_output(&mut self) {
+        self.output_buffer = Vec::new();
+    }
+
     /// Removes the messages of which nothing has been sent from the output buffer and returns them. The rest of
     /// a message that was sent in part stays in the buffer. Each message ends with `terminator`, which occurs
     /// nowhere else in it.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -365,6 +365,9 @@
                 TimerEvent::SwitchConnection(switch) => self.handle_switch_connection_timer(switch),
                 TimerEvent::ControlFeed => self.handle_feed_timer(),
                 TimerEvent::CallerMaintenance => self.run_caller_maintenance(),
+                TimerEvent::CallerInput(connection) => {
+                    self.pending_reads.push(PendingRead::Caller(connection))
+                }
                 TimerEvent::Shutdown => {
                     if self.shutdown_started_at.is_some_and(|start| now >= start + SHUTDOWN_REJECT_AFTER) {
                         self.call_control.reject_unanswered_calls(now);
@@ -452,11 +455,7 @@
 
     /// Sends the output of all connections and closes those that have failed or ended.
     fn flush_connections(&mut self) {
-        let call_control = &self.call_control;
-        for connection in self.callers.flush(|connection| call_control.unanswered_call(connection).is_some())
-        {
-            self.close_caller_connection(connection);
-        }
+        self.flush_callers();
         self.enforce_caller_buffer_limit();
         for switch in self.switches.flush() {
             self.lose_open_connection(switch, false);
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -13,8 +13,10 @@
 //!     PARTY floods COUNT BYTES   a caller sends these bytes COUNT times and reads one message in reply each
 //!                       time; at most 100 are open. Eight bytes ee stand for a number that counts up, and so
 //!                       do 16 characters # (as hex digits) and 6 characters % (its last decimal digits)
+//!     PARTY writes COUNT BYTES   as for a flood, but no reply is read
 //!     memory < MB       the program has never held more memory than this
-//!     signal TERM       sends a signal    exits 0           waits for the program to exit with this code
+//!     signal TERM       sends a signal; after STOP, the program has stopped
+//!     exits 0           waits for the program to exit with this code
 //!     log TEXT          waits for a line with this text in the program's log
 //!     with A => B       on the first lines of a file: replaces A by B in the configuration
 //!     config @moved     rewrites the configuration file with this address for the feed; any other text
@@ -143,6 +145,20 @@
     }
 }
 
+/// Copies of a message, each with its number.
+fn numbered_messages(template: &[u8], indices: std::ops::Range<u64>) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for number in indices.map(|index| 0x00f1_00d0_0000_0000 + index) {
+        let mut message = template.to_vec();
+        replace_all(&mut message, &FLOOD_NUMBER_BYTES, &number.to_be_bytes());
+        replace_all(&mut message, &FLOOD_NUMBER_DIGITS, format!("{number:016x}").as_bytes());
+        let decimals = format!("{:06}", number % 1_000_000);
+        replace_all(&mut message, &FLOOD_NUMBER_DECIMALS, decimals.as_bytes());
+        bytes.extend(message);
+    }
+    bytes
+}
+
 impl Runner {
     /// Starts the program; `replacements` are texts in its configuration and the texts to put in their place.
     fn start<'a>(replacements: impl IntoIterator<Item = (&'a str, &'a str)>) -> Self {
@@ -220,6 +236,9 @@
             ("signal", name) => {
                 let kill_command = format!("kill -{name} {}", self.program.id());
                 assert!(Command::new("sh").args(["-c", &kill_command]).status().unwrap().success());
+                if name == "STOP" {
+                    self.wait_until_stopped();
+                }
             }
             ("exits", code) => assert_eq!(self.program.wait().unwrap().code(), code.parse().ok()),
             ("config", text) => {
@@ -248,6 +267,7 @@
             (_, "refuses") => drop(self.listeners.remove(listener_name).expect("a listener")),
             ("s1", "answers") => self.answer_calls(argument.parse().unwrap()),
             (_, "floods") => self.flood(party, argument),
+            (_, "writes") => self.write_numbered(party, argument),
             ("memory", "<") => {
                 let limit_mb: f64 = argument.trim_end_matches(" MB").parse().unwrap();
                 let held_mb = self.most_memory_mb();
@@ -304,18 +324,9 @@
         let (count, notation) = argument.split_once(' ').expect("a count and bytes");
         let count: u64 = count.parse().unwrap();
         let template = self.encode(party, notation);
-        let number_of = |index: u64| 0x00f1_00d0_0000_0000 + index;
         for window_start in (0..count).step_by(FLOOD_WINDOW as usize) {
             let window = window_start..count.min(window_start + FLOOD_WINDOW);
-            let mut bytes = Vec::new();
-            for number in window.clone().map(number_of) {
-                let mut message = template.clone();
-                replace_all(&mut message, &FLOOD_NUMBER_BYTES, &number.to_be_bytes());
-                replace_all(&mut message, &FLOOD_NUMBER_DIGITS, format!("{number:016x}").as_bytes());
-                let decimals = format!("{:06}", number % 1_000_000);
-                replace_all(&mut message, &FLOOD_NUMBER_DECIMALS, decimals.as_bytes());
-                bytes.extend(message);
-            }
+            let bytes = numbered_messages(&template, window.clone());
             let connection = self.connection(party);
             connection.get_ref().write_all(&bytes).unwrap();
             for _ in window {
@@ -326,6 +337,22 @@
         }
     }
 
+    fn write_numbered(&mut self, party: &str, argument: &str) {
+        let (count, notation) = argument.split_once(' ').expect("a count and bytes");
+        let bytes = numbered_messages(&self.encode(party, notation), 0..count.parse().unwrap());
+        self.connection(party).get_ref().write_all(&bytes).unwrap();
+    }
+
+    /// Waits until the program has been stopped by a signal.
+    fn wait_until_stopped(&self) {
+        let deadline = Instant::now() + HANG_TIMEOUT;
+        let status_path = format!("/proc/{}/status", self.program.id());
+        while !std::fs::read_to_string(&status_path).unwrap().contains("State:\tT") {
+            assert!(Instant::now() < deadline, "the program does not stop");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// The most memory that the program has held, by the system's account of it.
     fn most_memory_mb(&self) -> f64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.program.id())).unwrap();
@@ -397,6 +424,8 @@
     bad_callers
     caller_gives_up
     caller_half_closes
+    caller_leaves_with_unread_set_ups
+    caller_resets_with_unread_set_ups
     duplicate_and_unknown_ids
     feed
     flood
