Write one log line for many set-ups that are too long for a switch

Cause: a line for each set-up.

Change: they are counted, and the periodic check of the callers writes one line for all since the last.

--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -520,6 +520,7 @@
         if count > 0 {
             log(&format!("closed {count} caller connection(s), the last because {reason}"));
         }
+        self.switches.log_oversized_set_ups();
         self.call_control.timers.push(now + MAINTENANCE_INTERVAL, TimerEvent::CallerMaintenance);
     }
 
--- a/src/net/switches.rs
+++ b/src/net/switches.rs
@@ -196,6 +196,8 @@
     by_id: BTreeMap<SwitchId, Switch>,
     directory: SwitchDirectory,
     last_connection_id: u64,
+    /// Number of set-ups that were too long to be sent since the last log line about them.
+    unlogged_oversized_set_ups: usize,
 }
 
 impl Switches {
@@ -213,6 +215,7 @@
             by_id: BTreeMap::new(),
             directory: SwitchDirectory::default(),
             last_connection_id: 0,
+            unlogged_oversized_set_ups: 0,
         }
     }
 
@@ -232,6 +235,16 @@
         })
     }
 
+    /// Writes one log line for all set-ups that were too long to be sent since the last one: a caller can send any
+    /// number of them.
+    pub fn log_oversized_set_ups(&mut self) {
+        let count = std::mem::take(&mut self.unlogged_oversized_set_ups);
+        if count > 0 {
+            let limit = lines::MAX_MESSAGE_BYTES;
+            log(&format!("{count} set-up(s) not sent to a switch: longer than the limit of {limit} bytes"));
+        }
+    }
+
     /// Starts to connect to a switch.
     fn start_connecting(&mut self, id: SwitchId, address: SocketAddr) -> io::Result<SwitchConnection> {
         let max_unsent_bytes = self.limits.unsent_per_switch;
@@ -328,11 +341,7 @@
                 self.call_control.handle_set_up_written(id, tag, open.connection.id);
                 switch.releases.forget(tag);
             } else {
-                log(&format!(
-                    "set-up {tag:016x} is not sent to switch {}: it exceeds the size limit of {} bytes",
-                    switch.listed.name,
-                    lines::MAX_MESSAGE_BYTES
-                ));
+                self.switches.unlogged_oversized_set_ups += 1;
                 self.call_control.fail_oversized_set_up(id, tag);
             }
             return;
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -488,6 +488,21 @@
     runner.execute(r#"s1 < {"verb":"START","tag":"0000000000000001",*"#);
 }
 
+/// Guards against a log that grows with each set-up that is too long for a switch: a caller can send any number.
+#[test]
+fn many_set_ups_that_are_too_long_write_few_log_lines() {
+    const SET_UPS: usize = 400;
+    let mut runner = Runner::start(None);
+    runner.execute_file("start.txt");
+    runner.execute(&format!(
+        r#"c1 floods {SET_UPS} #(01 eeeeeeeeeeeeeeee b4#("check") b6#("3000") bc#("%%%%%%") be#("dest:1") d2#("\"*9000))"#
+    ));
+    runner.wait_for_log("not sent to a switch: longer than the limit");
+    let is_about_length = |line: &String| line.contains("limit of 16384 bytes");
+    let further_lines = runner.log_lines.try_iter().filter(is_about_length).count();
+    assert!(further_lines < SET_UPS / 10, "{further_lines} further lines");
+}
+
 /// Guards against health checks of one connection that keep those of the others from being answered: the
 /// gatekeeper would get no calls.
 #[test]
