--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -1,19 +1,26 @@
 //! The callers' side of the network: the listening socket and the connections of callers, which speak the
 //! binary protocol.
 
-use super::binary::{self, Message, message_type, parameter_code};
+use super::binary::{Message, message_type, parameter_code};
 use super::buffer_limit::{BufferedConnection, connections_over_limit};
-use super::link::{Connection, READ_CHUNK_BYTES, ReadStatus};
+use super::link::Connection;
 use super::pending_reads::{PendingRead, PendingReads};
 use super::{Gatekeeper, log};
-use crate::call::{CallControl, Caller, ConnectionId, SetUp, SetUpError, Tag, TimerEvent, cause};
-use crate::interface::{ExchangeNumber, MILLISECOND, Micros, SECOND};
+use crate::call::{CallControl, Caller, ConnectionId, SetUpError, Tag, TimerEvent, cause};
+use crate::interface::{MILLISECOND, Micros, SECOND};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
+mod connection;
+mod reading;
+mod set_up;
+
+use connection::{CallerConnection, CallerState, TrustLevel};
+use set_up::parse_set_up;
+
 #[cfg(test)]
 mod tests;
 
@@ -38,130 +45,6 @@
 const MAX_UNANSWERED_BEFORE_FIRST_ANSWER: usize = 128;
 /// Most health checks of a connection that wait until the gatekeeper is ready.
 const MAX_PENDING_HEALTH_CHECKS_PER_CONNECTION: usize = 8;
-/// Most bytes that are read at once of a connection on which no call has been answered yet, so that many of
-/// them are read in an iteration.
-const UNTRUSTED_READ_CHUNK_BYTES: usize = 4 * 1024;
-/// How long the input of a caller waits that has finished sending, if more of it is unread than a chunk. It covers
-/// the way of a progress message to the caller and that of the reset back.
-const PRESENCE_CHECK_TIME: Micros = 50 * MILLISECOND;
-/// Longest called number that a set-up may have.
-const MAX_CALLED_NUMBER_BYTES: usize = 64;
-/// Largest absolute value of an integer among the routing attributes of a set-up. A set-up with a larger one
-/// is invalid.
-const MAX_ROUTING_INTEGER: f64 = 1e9;
-
-/// How far a connection is known to belong to a working caller, in ascending order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum TrustLevel {
-    /// Nothing received on it shows a working caller.
-    Unknown,
-    /// A set-up that was accepted, or a health check, has been received on it.
-    ValidMessage,
-    /// A call that was set up on it has been answered.
-    AnsweredCall,
-}
-
-/// What is known of the caller at the other end of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CallerState {
-    /// It may send more.
-    Connected,
-    /// It has finished sending, and all of that has been read. The connection is closed once its set-ups have been
-    /// answered or rejected and all output is sent.
-    HalfClosed,
-    /// It has closed the whole connection. What it sent before is still read for releases of answered calls.
-    Left,
-}
-
-/// Whether it was checked that a caller that has finished sending is still there. It may have closed the whole
-/// connection; its host then answers a progress message, which carries no information, with a reset.
-enum Presence {
-    NotChecked,
-    /// The progress message was sent, and there is more to read. The input waits in its buffer until this time.
-    Awaited {
-        until: Micros,
-    },
-    Checked,
-}
-
-/// A connection from a caller.
-struct CallerConnection {
-    connection: Connection,
-    state: CallerState,
-    presence: Presence,
-    trust: TrustLevel,
-    /// When the last set-up that was accepted, health check or release was received, or the last answer was
-    /// sent; before that, when the connection was accepted.
-    last_active_at: Micros,
-    /// Since when the input buffer has held an incomplete message.
-    incomplete_since: Option<Micros>,
-    /// Number of set-ups that were invalid or had a tag that was in use.
-    set_up_errors: u32,
-}
-
-impl CallerConnection {
-    /// Whether a call that was set up on it has been answered.
-    fn is_trusted(&self) -> bool {
-        self.trust == TrustLevel::AnsweredCall
-    }
-
-    fn is_connected(&self) -> bool {
-        self.state == CallerState::Connected
-    }
-
-    /// Sends a progress message to a caller that has finished sending. Returns true if it has been found to have
-    /// left by then.
-    fn check_presence(&mut self, tag: Tag) -> bool {
-        self.presence = Presence::Checked;
-        Message::new(message_type::PROGRESS, tag).encode(self.connection.output_buffer());
-        // A failure is noticed right below, or with the next output.
-        let _ = self.connection.flush();
-        self.connection.has_failed()
-    }
-
-    /// Reads at most `max_bytes` into the input buffer.
-    fn read(&mut self, max_bytes: usize) -> ReadInput {
-        let buffered_before = self.connection.input_buffer.len();
-        let received = |connection: &Connection| connection.input_buffer.len() - buffered_before;
-        let mut status = self.connection.read(max_bytes);
-        let rest_bytes = max_bytes.saturating_sub(received(&self.connection));
-        if status == ReadStatus::MorePossible && rest_bytes > 0 {
-            // Shows whether the caller has finished sending.
-            status = self.connection.read(rest_bytes);
-        }
-        ReadInput { status, bytes: received(&self.connection) }
-    }
-
-    /// Decodes the messages in the input buffer.
-    fn decode_input(&mut self, now: Micros) -> (Vec<Message>, Result<(), &'static str>) {
-        let (messages, result) = self.connection.decode_messages(binary::decode);
-        let has_incomplete_message = !self.connection.input_buffer.is_empty();
-        self.incomplete_since = match self.incomplete_since {
-            _ if !has_incomplete_message => None,
-            Some(since) if messages.is_empty() => Some(since),
-            // The time-out starts again after a complete message: what is left is the start of another one.
-            _ => Some(now),
-        };
-        (messages, result)
-    }
-
-    /// The tag of the first message in the input buffer, if the caller has finished sending after that message and
-    /// its presence has not been checked.
-    fn first_tag_before_end(&self, status: &ReadStatus) -> Option<Tag> {
-        let is_checked = !matches!(self.presence, Presence::NotChecked);
-        if is_checked || !self.is_connected() {
-            return None;
-        }
-        let has_finished = match status {
-            ReadStatus::EndOfStream => true,
-            ReadStatus::WouldBlock | ReadStatus::Failed => false,
-            ReadStatus::MorePossible => self.connection.peer_has_finished_sending(),
-        };
-        let first = if has_finished { binary::decode(&self.connection.input_buffer) } else { Ok(None) };
-        first.ok().flatten().map(|(message, _)| message.tag)
-    }
-}
-
 /// The connections that are at an end after output was sent.
 #[derive(Default)]
 struct EndedConnections {
@@ -178,12 +61,6 @@
     tag: Tag,
 }
 
-/// What was read of a caller at one time.
-struct ReadInput {
-    status: ReadStatus,
-    bytes: usize,
-}
-
 /// A release that waits for a connection to send it on.
 #[derive(Clone, Copy)]
 struct PendingRelease {
@@ -256,15 +133,7 @@
         let callback = move |gatekeeper: &mut Gatekeeper| gatekeeper.handle_caller_readiness(id);
         match Connection::new(&self.loop_handle, stream, self.limits.unsent_per_connection, callback) {
             Ok(connection) => {
-                let caller = CallerConnection {
-                    connection,
-                    state: CallerState::Connected,
-                    presence: Presence::NotChecked,
-                    trust: TrustLevel::Unknown,
-                    last_active_at: now,
-                    incomplete_since: None,
-                    set_up_errors: 0,
-                };
+                let caller = CallerConnection::new(connection, now);
                 self.connections.insert(id, caller);
             }
             Err(error) => {
@@ -543,25 +412,6 @@
         stays_open
     }
 
-    /// A caller's connection has become readable or writable, or has failed.
-    fn handle_caller_readiness(&mut self, id: ConnectionId) {
-        let read = PendingRead::Caller(id);
-        let is_trusted = self.callers.connections.get(&id).is_some_and(CallerConnection::is_trusted);
-        // Those that wait are read first.
-        let is_next = is_trusted || self.pending_reads.is_empty();
-        if is_next && self.may_read_caller(id) && !self.pending_reads.contains(read) {
-            self.read_caller(id);
-        } else {
-            self.pending_reads.push(read);
-        }
-    }
-
-    /// Whether more may be read of a caller in this iteration of the event loop.
-    pub(super) fn may_read_caller(&self, id: ConnectionId) -> bool {
-        let caller = self.callers.connections.get(&id);
-        caller.is_none_or(|caller| self.pending_reads.may_read_callers(caller.is_trusted()))
-    }
-
     /// Sends the output to callers, and closes the connections that are at an end.
     pub(super) fn flush_callers(&mut self) {
         let call_control = &self.call_control;
@@ -577,104 +427,6 @@
         }
     }
 
-    /// A caller has closed the whole connection, or it has failed: its unanswered calls are released. What it sent
-    /// before is read first, as it may have released answered calls.
-    fn handle_caller_left(&mut self, id: ConnectionId, reason: &str) {
-        let now = self.clock.now();
-        let Some(caller) = self.callers.connections.get_mut(&id) else { return };
-        if caller.state == CallerState::HalfClosed {
-            return self.close_caller_connection_with_reason(id, reason);
-        }
-        caller.state = CallerState::Left;
-        self.callers.pending_health_checks.retain(|check| check.connection_id != id);
-        self.callers.record_unlogged_close(reason);
-        self.call_control.handle_caller_disconnect(now, id);
-        self.pending_reads.push(PendingRead::Caller(id));
-    }
-
-    /// Reads a chunk of a caller's input and handles the messages in it.
-    pub(super) fn read_caller(&mut self, id: ConnectionId) {
-        let now = self.clock.now();
-        let Some(caller) = self.callers.connections.get_mut(&id) else { return };
-        if caller.connection.has_failed() && caller.state != CallerState::Left {
-            return self.handle_caller_left(id, "it was closed by the caller");
-        }
-        let is_awaited = matches!(caller.presence, Presence::Awaited { until } if now < until);
-        if caller.state == CallerState::HalfClosed || (is_awaited && caller.is_connected()) {
-            // There is no more input, or it waits. `Callers::flush` sends the output.
-            return;
-        }
-        if matches!(caller.presence, Presence::Awaited { .. }) {
-            caller.presence = Presence::Checked;
-            return self.handle_caller_input(id, ReadStatus::MorePossible);
-        }
-        let is_trusted = caller.is_trusted();
-        let max_bytes = if is_trusted { READ_CHUNK_BYTES } else { UNTRUSTED_READ_CHUNK_BYTES };
-        let input = caller.read(max_bytes);
-        self.pending_reads.record_caller_bytes(is_trusted, input.bytes);
-        if !self.must_await_presence(id, &input.status) {
-            self.handle_caller_input(id, input.status);
-        }
-    }
-
-    /// Checks whether a caller has left that has finished sending, so that its set-ups are not sent on for nobody.
-    /// Returns true if its input must wait for the result.
-    fn must_await_presence(&mut self, id: ConnectionId, status: &ReadStatus) -> bool {
-        let now = self.clock.now();
-        let Some(caller) = self.callers.connections.get_mut(&id) else { return false };
-        let Some(tag) = caller.first_tag_before_end(status) else { return false };
-        if caller.check_presence(tag) {
-            self.handle_caller_left(id, "it was closed by the caller");
-            return false;
-        }
-        if *status != ReadStatus::MorePossible {
-            return false;
-        }
-        let until = now + PRESENCE_CHECK_TIME;
-        caller.presence = Presence::Awaited { until };
-        self.call_control.timers.push(until, TimerEvent::CallerInput(id));
-        true
-    }
-
-    /// Handles the messages in a caller's input buffer and goes on reading.
-    fn handle_caller_input(&mut self, id: ConnectionId, status: ReadStatus) {
-        let now = self.clock.now();
-        let Some(caller) = self.callers.connections.get_mut(&id) else { return };
-        let (messages, decode_result) = caller.decode_input(now);
-        for message in messages {
-            if !self.handle_caller_message(id, message) {
-                return;
-            }
-        }
-        if let Err(error) = decode_result {
-            return self.close_caller_connection_with_reason(id, &format!("it sent {error}"));
-        }
-        let Some(caller) = self.callers.connections.get(&id) else { return };
-        let has_left = caller.state == CallerState::Left;
-        match status {
-            // The next chunk is read in the next iteration of the event loop.
-            ReadStatus::MorePossible => self.pending_reads.push(PendingRead::Caller(id)),
-            ReadStatus::WouldBlock if !has_left => {}
-            ReadStatus::EndOfStream if !has_left => match self.call_control.unanswered_call(id) {
-                // The caller may have shut down only its sending side and still wait for the answer.
-                Some(tag) => self.half_close(id, tag),
-                // A health check that is still pending on the connection is not answered.
-                None => self.close_caller_connection(id),
-            },
-            _ => self.close_caller_connection(id),
-        }
-    }
-
-    /// A caller with an unanswered call has finished sending.
-    fn half_close(&mut self, id: ConnectionId, tag: Tag) {
-        let Some(caller) = self.callers.connections.get_mut(&id) else { return };
-        caller.state = CallerState::HalfClosed;
-        let is_checked = !matches!(caller.presence, Presence::NotChecked);
-        if !is_checked && caller.check_presence(tag) {
-            self.close_caller_connection(id);
-        }
-    }
-
     /// Handles a message from a caller. Returns false if the connection has been closed because of it.
     fn handle_caller_message(&mut self, id: ConnectionId, message: Message) -> bool {
         let now = self.clock.now();
@@ -771,50 +523,3 @@
         self.call_control.handle_caller_disconnect(now, id);
     }
 }
-
-/// Reads the parameters of a set-up. `None` if one is malformed, or if the called number, the class, the
-/// caller's time-out or the routing attributes are missing.
-fn parse_set_up(message: &Message) -> Option<SetUp> {
-    let called_number = message.text_parameter(parameter_code::CALLED_NUMBER)?;
-    if called_number.is_empty()
-        || called_number.len() > MAX_CALLED_NUMBER_BYTES
-        || !called_number.bytes().all(|byte| byte.is_ascii_graphic())
-    {
-        return None;
-    }
-    let caller_timeout_ms: i64 = message.text_parameter(parameter_code::CALLER_TIMEOUT)?.parse().ok()?;
-    let mut set_up = SetUp {
-        tag: message.tag,
-        class: message.text_parameter(parameter_code::CLASS)?.to_string(),
-        called_number: called_number.to_string(),
-        caller_timeout: caller_timeout_ms.saturating_mul(MILLISECOND),
-        redial: message.text_parameter(parameter_code::REDIAL).is_some_and(|value| value != "0"),
-        // Call control rejects a set-up without a destination.
-        destination: -1,
-        circuits: 1.0,
-        via_exchange: -1,
-        transit: false,
-        session_description: None,
-    };
-    let attributes = message.text_parameter(parameter_code::ROUTING)?.split(';');
-    for attribute in attributes.filter(|attribute| !attribute.is_empty()) {
-        let (name, value) = attribute.split_once(':')?;
-        // A value that is not a finite number makes the set-up invalid; it must not be taken for 0.
-        let value = value.parse::<f64>().ok().filter(|value| value.is_finite())?;
-        let is_integer = value.fract() == 0.0 && value.abs() <= MAX_ROUTING_INTEGER;
-        let integer = is_integer.then_some(value as ExchangeNumber);
-        match name {
-            "dest" => set_up.destination = integer?,
-            "width" => set_up.circuits = value,
-            "via" => set_up.via_exchange = integer?,
-            "transit" => set_up.transit = integer? != 0,
-            _ => {}
-        }
-    }
-    if let Some(session_description) = message.parameter(parameter_code::SESSION_DESCRIPTION) {
-        // The JSON lines of the switches' protocol hold text only: a description that is not UTF-8 could not
-        // be passed on unchanged.
-        set_up.session_description = Some(String::from_utf8(session_description.to_vec()).ok()?);
-    }
-    Some(set_up)
-}
